--- /dev/null
+++ b/src/state-tables.h
@@ -0,0 +1,85 @@
+#ifndef HR_STATE_TABLES_H
+#define HR_STATE_TABLES_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base-error.h"
+
+/* When a gathered answer is finished. */
+typedef enum HrFinish {
+    HR_FINISH_ALL,    /* every shard, or partial at the deadline */
+    HR_FINISH_ENOUGH, /* the first enough_percent of the shards */
+    HR_FINISH_SINGLE, /* the one shard that holds the key */
+} HrFinish;
+
+/* When a second attempt is sent to another replica. */
+typedef enum HrHedge {
+    HR_HEDGE_NONE,
+    HR_HEDGE_FIXED,    /* after hedge_delay_ms */
+    HR_HEDGE_QUANTILE, /* after the hedge_quantile of recent latencies */
+    HR_HEDGE_TIED,     /* at once; the loser is cancelled */
+} HrHedge;
+
+/* One row of the routes table. */
+typedef struct HrRoute {
+    const char *name;
+    const char *kind; /* exact kind, or a prefix followed by '*' */
+    const char *pool;
+    uint32_t priority; /* class: 0 is served first, at most 7 */
+    HrFinish finish;
+    uint32_t enough_percent; /* for HR_FINISH_ENOUGH */
+    bool idempotent;
+    uint32_t default_deadline_ms;
+    uint32_t max_deadline_ms;
+    uint32_t
+        caller_share_percent; /* most of the queue that one caller takes */
+    uint32_t objective_latency_ms;
+    double objective_latency_target;  /* share of answers within it */
+    double objective_coverage_target; /* share of shards that contribute */
+    uint64_t revision;                /* revision that last changed the row */
+} HrRoute;
+
+/* One backend server of a pool. */
+typedef struct HrServer {
+    const char *name;
+    const char *address; /* numeric IP address and port */
+    const char *data_centre;
+    const char *group; /* servers of one group are replicas of its shards */
+    bool leaving;      /* set by an operator edit: no new work */
+} HrServer;
+
+/* One row of the pools table. */
+typedef struct HrPool {
+    const char *name;
+    uint32_t slots;       /* requests that a server runs at once */
+    uint32_t connections; /* connections that a server accepts */
+    uint32_t connect_ms;  /* typical time to open a connection */
+    HrHedge hedge;
+    double hedge_quantile;
+    uint32_t hedge_delay_ms;
+    uint32_t extra_load_percent; /* hedges and retries per first attempt */
+    uint32_t queue_limit;        /* waiting sub-requests per group */
+    HrServer *servers;
+    uint32_t server_count;
+    uint64_t revision;
+} HrPool;
+
+/* Both tables at one revision. Immutable once published. */
+typedef struct HrTables {
+    uint64_t revision; /* 0: no tables yet */
+    uint64_t digest;
+    HrRoute *routes;
+    uint32_t route_count;
+    HrPool *pools;
+    uint32_t pool_count;
+} HrTables;
+
+/* Returns the route of a request kind (an exact kind wins over prefixes, a
+ * longer prefix over a shorter one), or NULL. */
+const HrRoute *HrTables_FindRoute(const HrTables *tables, const char *kind);
+
+/* Returns the pool with a name, or NULL. */
+const HrPool *HrTables_FindPool(const HrTables *tables, const char *name);
+
+#endif
