--- a/tools/fake-backend.c
+++ b/tools/fake-backend.c
@@ -417,7 +417,7 @@
 
 /* Applies the faults that change an answer. */
 static void
-apply_fault(Server *server, Search *search, FaultKind fault, FakeReply *reply)
+apply_fault(Search *search, FaultKind fault, FakeReply *reply)
 {
     switch (fault) {
     case FAULT_WRONG_ID:
@@ -442,7 +442,6 @@
     case FAULT_ERROR:
         break;
     }
-    (void)server;
 }
 
 /* Removes a request from the server's list; the mutex is held. */
@@ -457,31 +456,45 @@
     *link = entry->next;
 }
 
+/* Adds a request to the server's list. */
+static Running *
+add_running(Server *server, const Search *search)
+{
+    Running *entry = talloc_zero(NULL, Running);
+
+    if (entry == NULL) {
+        abort();
+    }
+    format_id(entry->id, search->query_id, search->attempt_id);
+    entry->next = server->requests;
+    server->requests = entry;
+    return entry;
+}
+
 /* Runs an admitted search and answers it. */
 static void
 execute_search(Server *server, Search *search, const FakeRequest *request,
                FaultKind fault, FakeReply *reply)
 {
-    Running entry = {.cancelled = false};
+    Running *entry;
     const char *declined;
     bool finished = true;
     json_t *payload;
 
-    format_id(entry.id, search->query_id, search->attempt_id);
     pthread_mutex_lock(&server->mutex);
-    entry.next = server->requests;
-    server->requests = &entry;
-    declined = take_slot(server, search, &entry);
+    entry = add_running(server, search);
+    declined = take_slot(server, search, entry);
     pthread_mutex_unlock(&server->mutex);
     if (declined == NULL) {
         if (!search->idempotent) {
             count_run(server->pool, request);
         }
-        finished = run_request(server, search, fault, &entry);
+        finished = run_request(server, search, fault, entry);
     }
     pthread_mutex_lock(&server->mutex);
-    remove_running(server, &entry);
+    remove_running(server, entry);
     pthread_mutex_unlock(&server->mutex);
+    talloc_free(entry);
     if (declined != NULL) {
         reply_to_search(server, search, MHD_HTTP_SERVICE_UNAVAILABLE, declined,
                         NULL, reply);
@@ -491,7 +504,7 @@
         FakeReply_SetText(reply, 499, "{}");
         return;
     }
-    apply_fault(server, search, fault, reply);
+    apply_fault(search, fault, reply);
     payload = json_pack("{s:s,s:I,s:s}", "shard", search->shard, "version",
                         (json_int_t)search->version, "server", server->name);
     reply_to_search(server, search, MHD_HTTP_OK, "answered", payload, reply);
