--- a/Makefile
+++ b/Makefile
@@ -102,6 +102,15 @@
 	    --enable=warning,performance,portability --inline-suppr \
 	    --suppress=missingInclude --suppress=unknownMacro $(TIDY_SRC)
 
+# Regenerates the committed protobuf code; needs protobuf-c-compiler.
+.PHONY: proto
+proto:
+	protoc-c --c_out=src --proto_path=src/proto peer.proto
+	sed 's/"peer\.pb-c\.h"/"proto-peer.pb-c.h"/' src/peer.pb-c.c \
+	    >src/proto-peer.pb-c.c
+	mv src/peer.pb-c.h src/proto-peer.pb-c.h
+	rm src/peer.pb-c.c
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -Itests -Itools -MMD -MP -c $< -o $@
--- a/src/state-settings.c
+++ b/src/state-settings.c
@@ -39,11 +39,17 @@
 
 #define AT(member) offsetof(HrSettings, member)
 #define REQUIRED(section, name, type, member)                                 \
-    {section, name, type, true, AT(member), 0, 0, 0}
+    {                                                                         \
+        section, name, type, true, AT(member), 0, 0, 0                        \
+    }
 #define OPTIONAL(section, name, type, member)                                 \
-    {section, name, type, false, AT(member), 0, 0, 0}
+    {                                                                         \
+        section, name, type, false, AT(member), 0, 0, 0                       \
+    }
 #define COUNT(section, name, member, min, max, initial)                       \
-    {section, name, FIELD_COUNT, false, AT(member), min, max, initial}
+    {                                                                         \
+        section, name, FIELD_COUNT, false, AT(member), min, max, initial      \
+    }
 
 static const FieldSpec fields[] = {
     REQUIRED("", "cluster", FIELD_NAME, cluster),
@@ -101,8 +107,8 @@
              const json_t *value, const char *remedy)
 {
     bool secret = spec->type == FIELD_KEY || spec->type == FIELD_TOKEN;
-    char *text = secret ? NULL
-                        : json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+    char *text =
+        secret ? NULL : json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
 
     HrError_Set(parse->err, kind, "%s: field %s%s%s: value %.64s: %s",
                 parse->file_name, spec->section,
@@ -323,7 +329,8 @@
     json_t *value;
     int rc;
 
-    json_object_foreach((json_t *)object, name, value) {
+    json_object_foreach((json_t *)object, name, value)
+    {
         const FieldSpec *spec = find_field(section, name);
 
         if (spec != NULL) {
@@ -464,8 +471,8 @@
         return NULL;
     }
     text = talloc_size(NULL, SETTINGS_FILE_MAX_BYTES + 1);
-    length = text != NULL ? fread(text, 1, SETTINGS_FILE_MAX_BYTES + 1, file)
-                          : 0;
+    length =
+        text != NULL ? fread(text, 1, SETTINGS_FILE_MAX_BYTES + 1, file) : 0;
     fclose(file);
     if (length > SETTINGS_FILE_MAX_BYTES) {
         HrError_Set(err, HR_ERR_TOO_LARGE,
--- a/src/trans-http-client.c
+++ b/src/trans-http-client.c
@@ -188,9 +188,9 @@
 
     (void)multi;
     HrLoop_SetTimer(client->loop, client->timer,
-                    wait_ms < 0 ? HR_TIME_NEVER
-                                : HrLoop_NowNs(client->loop) +
-                                      wait_ms * HR_NS_PER_MS);
+                    wait_ms < 0
+                        ? HR_TIME_NEVER
+                        : HrLoop_NowNs(client->loop) + wait_ms * HR_NS_PER_MS);
     return 0;
 }
 
@@ -244,8 +244,8 @@
 static int
 reserve_answer(HrHttpCall *call, size_t length)
 {
-    size_t capacity = call->answer_capacity == 0 ? 1024
-                                                 : call->answer_capacity;
+    size_t capacity =
+        call->answer_capacity == 0 ? 1024 : call->answer_capacity;
     uint8_t *grown;
 
     while (capacity < call->answer_bytes + length) {
@@ -323,8 +323,8 @@
         curl_easy_setopt(easy, CURLOPT_HTTPGET, 1L);
         return;
     }
-    call->body = talloc_memdup(call, request->body.data,
-                               request->body.length_bytes);
+    call->body =
+        talloc_memdup(call, request->body.data, request->body.length_bytes);
     curl_easy_setopt(easy, CURLOPT_POST, 1L);
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request->method);
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
--- a/src/trans-http-client.h
+++ b/src/trans-http-client.h
@@ -37,13 +37,13 @@
 
 /* How a request ended. */
 typedef struct HrHttpAnswer {
-    int error;         /* HR_OK, or why there is no complete answer */
-    int status;        /* HTTP status; 0 without an answer */
-    bool maybe_sent;   /* any byte of the request may have been sent */
-    bool reused;       /* the connection served an earlier request */
+    int error;          /* HR_OK, or why there is no complete answer */
+    int status;         /* HTTP status; 0 without an answer */
+    bool maybe_sent;    /* any byte of the request may have been sent */
+    bool reused;        /* the connection served an earlier request */
     int64_t connect_ns; /* time to open the connection; 0 if reused */
-    HrBytes body;      /* valid during the callback */
-    HrHttpCall *call;  /* for HrHttpCall_Header; valid during the callback */
+    HrBytes body;       /* valid during the callback */
+    HrHttpCall *call;   /* for HrHttpCall_Header; valid during the callback */
 } HrHttpAnswer;
 
 /* Receives the answer; it may start and cancel other calls. */
--- a/src/trans-http-server.c
+++ b/src/trans-http-server.c
@@ -102,7 +102,7 @@
         (int64_t)server->config.request_timeout_ms * HR_NS_PER_MS;
     Connection *connection;
 
-    TAILQ_FOREACH(connection, &server->connections, entry) {
+    TAILQ_FOREACH (connection, &server->connections, entry) {
         if (connection->waiting_since_ns != HR_TIME_NEVER &&
             now_ns - connection->waiting_since_ns >= limit_ns) {
             connection->waiting_since_ns = HR_TIME_NEVER;
@@ -124,8 +124,8 @@
     Connection *connection = *context;
 
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-        const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-            mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
+        const union MHD_ConnectionInfo *info =
+            MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
 
         connection = talloc_zero(server, Connection);
         if (connection == NULL) {
@@ -329,7 +329,7 @@
     HrBytes body = {(const uint8_t *)text, sizeof(text) - 1};
     HrHttpExchange *exchange, *next;
 
-    HASH_ITER(hh, server->open, exchange, next) {
+    HASH_ITER (hh, server->open, exchange, next) {
         HrHttpServer_Answer(server, exchange->number, 503, "application/json",
                             body);
     }
--- a/src/trans-loop.c
+++ b/src/trans-loop.c
@@ -166,7 +166,7 @@
         return;
     }
     loop->any_removed = false;
-    TAILQ_FOREACH_SAFE(watch, &loop->watches, entry, next) {
+    TAILQ_FOREACH_SAFE (watch, &loop->watches, entry, next) {
         if (watch->removed) {
             TAILQ_REMOVE(&loop->watches, watch, entry);
             talloc_free(watch);
@@ -184,8 +184,7 @@
         return HR_OK;
     }
     capacity = capacity == 0 ? FIRST_CAPACITY : capacity * 2;
-    loop->polled =
-        talloc_realloc(loop, loop->polled, struct pollfd, capacity);
+    loop->polled = talloc_realloc(loop, loop->polled, struct pollfd, capacity);
     loop->polled_watches =
         talloc_realloc(loop, loop->polled_watches, HrLoopFd *, capacity);
     if (loop->polled == NULL || loop->polled_watches == NULL) {
@@ -202,7 +201,7 @@
     HrLoopFd *watch;
 
     *count = 0;
-    TAILQ_FOREACH(watch, &loop->watches, entry) {
+    TAILQ_FOREACH (watch, &loop->watches, entry) {
         struct pollfd *polled;
 
         if (reserve_polled(loop, *count) != HR_OK) {
--- /dev/null
+++ b/src/trans-peer-link.c
@@ -0,0 +1,458 @@
+#include "trans-peer-link.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "trans-peer-handshake.h"
+
+#define IOVEC_MAX 32
+#define READ_CHUNK_BYTES 65536
+/* Bytes read in one round of the loop, so that one busy link does not hold
+ * up the others. */
+#define READ_ROUND_BYTES (4 * READ_CHUNK_BYTES)
+/* How often the timer of a link looks at its times. */
+#define TICK_DIVISOR 4
+
+/* Frees the frames of a queue; those without a byte written are reported as
+ * unsent. */
+static void
+drop_queue(HrPeerLink *link, struct HrPeerQueue *queue, bool report)
+{
+    const HrPeerNodeConfig *config = link->owner->config;
+    HrPeerQueued *queued;
+
+    while ((queued = STAILQ_FIRST(queue)) != NULL) {
+        STAILQ_REMOVE_HEAD(queue, entry);
+        if (report && queued->written_bytes == 0 && queued->tag != 0) {
+            HrPeerEvent event = {.kind = HR_PEER_EVENT_UNSENT,
+                                 .link = link->number,
+                                 .tag = queued->tag};
+
+            config->fn(config->arg, &event);
+        }
+        talloc_free(queued);
+    }
+}
+
+/* Closes the link and tells the owner; a second call does nothing. */
+void
+HrPeerLink_Close(HrPeerLink *link, int error)
+{
+    if (link->state == HR_PEER_LINK_CLOSED) {
+        return;
+    }
+    link->state = HR_PEER_LINK_CLOSED;
+    HrLoop_RemoveFd(link->owner->loop, link->watch);
+    HrLoop_RemoveTimer(link->owner->loop, link->timer);
+    link->watch = NULL;
+    link->timer = NULL;
+    close(link->fd);
+    HrCounters_Add(link->owner->config->counters, HR_COUNTER_peer_links_closed,
+                   1);
+    drop_queue(link, &link->handshake, false);
+    drop_queue(link, &link->queue, true);
+    link->owner->closed(link->owner->arg, link, error);
+}
+
+/* Frees a closed link. */
+void
+HrPeerLink_Free(HrPeerLink *link)
+{
+    talloc_free(link);
+}
+
+/* Watches for writability only while something can be written. */
+static void
+update_events(HrPeerLink *link)
+{
+    bool write =
+        link->state == HR_PEER_LINK_CONNECTING ||
+        !STAILQ_EMPTY(&link->handshake) ||
+        (link->state == HR_PEER_LINK_READY && !STAILQ_EMPTY(&link->queue));
+
+    if (link->state != HR_PEER_LINK_CLOSED) {
+        HrLoop_SetEvents(link->owner->loop, link->watch,
+                         HR_LOOP_READ | (write ? HR_LOOP_WRITE : 0));
+    }
+}
+
+/* Appends encoded bytes to a queue, which takes them over. */
+static int
+append_queue(HrPeerLink *link, struct HrPeerQueue *queue, HrBytes bytes,
+             uint64_t tag)
+{
+    HrPeerQueued *queued = talloc_zero(link, HrPeerQueued);
+
+    if (queued == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    queued->bytes = bytes;
+    queued->tag = tag;
+    talloc_steal(queued, bytes.data);
+    STAILQ_INSERT_TAIL(queue, queued, entry);
+    link->queued_bytes += bytes.length_bytes;
+    update_events(link);
+    return HR_OK;
+}
+
+/* Queues an encoded frame. */
+int
+HrPeerLink_Queue(HrPeerLink *link, HrBytes bytes, uint64_t tag)
+{
+    const HrPeerNodeConfig *config = link->owner->config;
+
+    if (link->queued_bytes + bytes.length_bytes > config->queue_bytes) {
+        HrCounters_Add(config->counters, HR_COUNTER_peer_queue_full, 1);
+        return HR_ERR_FULL;
+    }
+    link->used_ns = HrLoop_NowNs(link->owner->loop);
+    link->sent_since_received = true;
+    return append_queue(link, &link->queue, bytes, tag);
+}
+
+/* Encodes a frame and puts it in the queue that goes first. */
+int
+HrPeerLink_QueueFirst(HrPeerLink *link, const HrPeerFrame *frame)
+{
+    HrBytes bytes;
+    int rc = HrPeerFrame_Encode(link, frame, 0, &bytes);
+
+    return rc == HR_OK ? append_queue(link, &link->handshake, bytes, 0) : rc;
+}
+
+/* Returns the queue to write from: a frame that is written in part goes on;
+ * otherwise the first queue wins. */
+static struct HrPeerQueue *
+choose_queue(HrPeerLink *link)
+{
+    const HrPeerQueued *first = STAILQ_FIRST(&link->queue);
+
+    if (first != NULL && first->written_bytes > 0) {
+        return &link->queue;
+    }
+    if (!STAILQ_EMPTY(&link->handshake)) {
+        return &link->handshake;
+    }
+    return link->state == HR_PEER_LINK_READY ? &link->queue : NULL;
+}
+
+/* Fills the vector with the unwritten bytes of a queue; returns the number of
+ * parts. */
+static int
+fill_vector(const struct HrPeerQueue *queue, struct iovec *vector)
+{
+    const HrPeerQueued *queued;
+    int count = 0;
+
+    STAILQ_FOREACH (queued, queue, entry) {
+        if (count == IOVEC_MAX) {
+            break;
+        }
+        vector[count].iov_base =
+            (void *)(queued->bytes.data + queued->written_bytes);
+        vector[count].iov_len =
+            queued->bytes.length_bytes - queued->written_bytes;
+        count++;
+    }
+    return count;
+}
+
+/* Removes the frames of a queue that are written whole. */
+static void
+consume_written(HrPeerLink *link, struct HrPeerQueue *queue, size_t written)
+{
+    while (written > 0) {
+        HrPeerQueued *queued = STAILQ_FIRST(queue);
+        size_t left = queued->bytes.length_bytes - queued->written_bytes;
+
+        if (written < left) {
+            queued->written_bytes += written;
+            return;
+        }
+        written -= left;
+        link->queued_bytes -= queued->bytes.length_bytes;
+        STAILQ_REMOVE_HEAD(queue, entry);
+        talloc_free(queued);
+    }
+}
+
+/* Writes what the socket takes. */
+static void
+write_queues(HrPeerLink *link)
+{
+    struct HrPeerQueue *queue;
+    struct iovec vector[IOVEC_MAX];
+
+    while ((queue = choose_queue(link)) != NULL && !STAILQ_EMPTY(queue)) {
+        struct msghdr message = {.msg_iov = vector};
+        ssize_t written;
+
+        message.msg_iovlen = (size_t)fill_vector(queue, vector);
+        written = sendmsg(link->fd, &message, MSG_NOSIGNAL);
+        if (written < 0) {
+            if (errno != EAGAIN && errno != EINTR) {
+                HrPeerLink_Close(link, HR_ERR_CLOSED);
+            }
+            return;
+        }
+        consume_written(link, queue, (size_t)written);
+    }
+}
+
+/* Answers pings, and hands other frames to the owner. */
+static void
+dispatch_frame(HrPeerLink *link, HrPeerFrame *frame)
+{
+    int rc;
+
+    if (link->state != HR_PEER_LINK_READY) {
+        rc = HrPeerHandshake_Handle(link, frame);
+        talloc_free(frame);
+        if (rc != HR_OK) {
+            HrPeerLink_Close(link, rc);
+        }
+        return;
+    }
+    if (frame->kind == HR_PEER_PING) {
+        frame->kind = HR_PEER_PONG;
+        HrPeerLink_QueueFirst(link, frame);
+        talloc_free(frame);
+        return;
+    }
+    if (frame->kind == HR_PEER_PONG || frame->kind == HR_PEER_HELLO ||
+        frame->kind == HR_PEER_PROOF) {
+        talloc_free(frame);
+        return;
+    }
+    link->used_ns = HrLoop_NowNs(link->owner->loop);
+    link->owner->frame(link->owner->arg, link, frame);
+}
+
+/* Decodes the frame that has arrived whole. */
+static void
+finish_frame(HrPeerLink *link)
+{
+    const HrPeerNodeConfig *config = link->owner->config;
+    HrBytes bytes = {link->body, link->body_bytes};
+    HrPeerFrame *frame =
+        HrPeerFrame_Decode(NULL, bytes, HrLoop_NowNs(link->owner->loop), NULL);
+
+    TALLOC_FREE(link->body);
+    link->received_bytes = 0;
+    if (frame == NULL) {
+        HrCounters_Add(config->counters, HR_COUNTER_peer_bad_frames, 1);
+        HrPeerLink_Close(link, HR_ERR_PROTOCOL);
+        return;
+    }
+    dispatch_frame(link, frame);
+}
+
+/* Checks the length prefix and makes room for the body. */
+static void
+begin_body(HrPeerLink *link)
+{
+    const HrPeerNodeConfig *config = link->owner->config;
+    uint32_t limit = link->state == HR_PEER_LINK_READY
+                         ? HR_PEER_FRAME_MAX_BYTES
+                         : HR_PEER_HANDSHAKE_MAX_BYTES;
+
+    if (HrPeerFrame_DecodeLength(link->prefix, limit, &link->body_bytes) !=
+        HR_OK) {
+        HrCounters_Add(config->counters, HR_COUNTER_peer_bad_length, 1);
+        HrPeerLink_Close(link, HR_ERR_PROTOCOL);
+        return;
+    }
+    link->body = talloc_array(link, uint8_t, link->body_bytes);
+    if (link->body == NULL) {
+        HrPeerLink_Close(link, HR_ERR_NO_MEMORY);
+    }
+}
+
+/* Takes received bytes into the current frame; returns how many. */
+static size_t
+consume_received(HrPeerLink *link, const uint8_t *data, size_t length)
+{
+    size_t taken, at = link->received_bytes;
+
+    if (at < HR_PEER_PREFIX_BYTES) {
+        taken = HR_PEER_PREFIX_BYTES - at;
+        taken = length < taken ? length : taken;
+        memcpy(link->prefix + at, data, taken);
+        link->received_bytes += (uint32_t)taken;
+        if (link->received_bytes == HR_PEER_PREFIX_BYTES) {
+            begin_body(link);
+        }
+        return taken;
+    }
+    at -= HR_PEER_PREFIX_BYTES;
+    taken = link->body_bytes - at;
+    taken = length < taken ? length : taken;
+    memcpy(link->body + at, data, taken);
+    link->received_bytes += (uint32_t)taken;
+    if (at + taken == link->body_bytes) {
+        finish_frame(link);
+    }
+    return taken;
+}
+
+/* Notes that the other side is alive. */
+static void
+note_received(HrPeerLink *link)
+{
+    link->received_ns = HrLoop_NowNs(link->owner->loop);
+    link->ping_open = false;
+    link->sent_since_received = false;
+}
+
+/* Reads what has arrived, up to a bound for each round. */
+static void
+read_socket(HrPeerLink *link)
+{
+    uint8_t chunk[READ_CHUNK_BYTES];
+    size_t total = 0;
+
+    while (link->state != HR_PEER_LINK_CLOSED && total < READ_ROUND_BYTES) {
+        ssize_t length = recv(link->fd, chunk, sizeof(chunk), 0);
+        size_t at = 0;
+
+        if (length < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return;
+        }
+        if (length <= 0) {
+            HrPeerLink_Close(link, HR_ERR_CLOSED);
+            return;
+        }
+        note_received(link);
+        total += (size_t)length;
+        while (at < (size_t)length && link->state != HR_PEER_LINK_CLOSED) {
+            at += consume_received(link, chunk + at, (size_t)length - at);
+        }
+    }
+}
+
+/* Finishes a connection attempt. */
+static void
+finish_connect(HrPeerLink *link)
+{
+    int error = 0;
+    socklen_t length = sizeof(error);
+
+    getsockopt(link->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+    if (error != 0) {
+        HrPeerLink_Close(link, HR_ERR_UNAVAILABLE);
+        return;
+    }
+    link->state = HR_PEER_LINK_HELLO;
+    if (HrPeerHandshake_SendHello(link) != HR_OK) {
+        HrPeerLink_Close(link, HR_ERR_NO_MEMORY);
+    }
+}
+
+/* Handles readiness of the socket. */
+static void
+handle_socket(void *arg, int fd, uint32_t events)
+{
+    HrPeerLink *link = arg;
+
+    (void)fd;
+    if (link->state == HR_PEER_LINK_CONNECTING) {
+        finish_connect(link);
+    }
+    else if ((events & (HR_LOOP_READ | HR_LOOP_ERROR)) != 0) {
+        read_socket(link);
+    }
+    if (link->state != HR_PEER_LINK_CLOSED &&
+        link->state != HR_PEER_LINK_CONNECTING) {
+        write_queues(link);
+    }
+    update_events(link);
+}
+
+/* Sends a ping when an answer is due; returns false when the link was
+ * closed. */
+static bool
+check_silence(HrPeerLink *link, int64_t now_ns)
+{
+    const HrPeerNodeConfig *config = link->owner->config;
+    HrPeerFrame ping = {.kind = HR_PEER_PING, .u.ping = (uint64_t)now_ns};
+
+    if (link->ping_open &&
+        now_ns - link->ping_sent_ns >= config->silence_ms * HR_NS_PER_MS) {
+        HrCounters_Add(config->counters, HR_COUNTER_peer_links_silent, 1);
+        HrPeerLink_Close(link, HR_ERR_TIMEOUT);
+        return false;
+    }
+    if (!link->ping_open && link->sent_since_received &&
+        now_ns - link->received_ns >= config->ping_ms * HR_NS_PER_MS) {
+        link->ping_open = true;
+        link->ping_sent_ns = now_ns;
+        HrPeerLink_QueueFirst(link, &ping);
+    }
+    return true;
+}
+
+/* Closes a link that is silent, idle or stuck in its handshake. */
+static void
+handle_timer(void *arg)
+{
+    HrPeerLink *link = arg;
+    const HrPeerNodeConfig *config = link->owner->config;
+    int64_t now_ns = HrLoop_NowNs(link->owner->loop);
+
+    if (link->state != HR_PEER_LINK_READY) {
+        if (now_ns - link->opened_ns >= config->handshake_ms * HR_NS_PER_MS) {
+            HrPeerLink_Close(link, HR_ERR_TIMEOUT);
+            return;
+        }
+    }
+    else if (!check_silence(link, now_ns)) {
+        return;
+    }
+    else if (now_ns - link->used_ns >= config->idle_ms * HR_NS_PER_MS &&
+             STAILQ_EMPTY(&link->queue)) {
+        HrPeerLink_Close(link, HR_OK);
+        return;
+    }
+    HrLoop_SetTimer(link->owner->loop, link->timer,
+                    now_ns + config->ping_ms * HR_NS_PER_MS / TICK_DIVISOR);
+}
+
+/* Creates a link on a connecting or accepted socket. */
+HrPeerLink *
+HrPeerLink_Create(const void *parent, const HrPeerLinkOwner *owner, int fd,
+                  bool outbound)
+{
+    HrPeerLink *link = talloc_zero(parent, HrPeerLink);
+    int64_t now_ns = HrLoop_NowNs(owner->loop);
+
+    if (link == NULL) {
+        close(fd);
+        return NULL;
+    }
+    link->owner = owner;
+    link->fd = fd;
+    link->outbound = outbound;
+    link->state = outbound ? HR_PEER_LINK_CONNECTING : HR_PEER_LINK_HELLO;
+    link->opened_ns = link->used_ns = link->received_ns = now_ns;
+    STAILQ_INIT(&link->queue);
+    STAILQ_INIT(&link->handshake);
+    randombytes_buf(link->own_nonce, sizeof(link->own_nonce));
+    link->watch =
+        HrLoop_AddFd(owner->loop, fd, outbound ? HR_LOOP_WRITE : HR_LOOP_READ,
+                     handle_socket, link);
+    link->timer = HrLoop_AddTimer(owner->loop, handle_timer, link);
+    if (link->watch == NULL || link->timer == NULL) {
+        HrLoop_RemoveFd(owner->loop, link->watch);
+        HrLoop_RemoveTimer(owner->loop, link->timer);
+        close(fd);
+        talloc_free(link);
+        return NULL;
+    }
+    handle_timer(link);
+    return link;
+}
--- /dev/null
+++ b/src/trans-peer-link.h
@@ -0,0 +1,92 @@
+#ifndef HR_TRANS_PEER_LINK_H
+#define HR_TRANS_PEER_LINK_H
+
+/* One peer link: used by trans-peer only. */
+
+#include <bsd/sys/queue.h>
+#include <uthash.h>
+
+#include "proto-peer-codec.h"
+#include "trans-peer.h"
+
+/* Before the handshake a frame is at most this long. */
+#define HR_PEER_HANDSHAKE_MAX_BYTES 1024
+
+typedef enum HrPeerLinkState {
+    HR_PEER_LINK_CONNECTING,
+    HR_PEER_LINK_HELLO, /* waits for the hello of the other side */
+    HR_PEER_LINK_PROOF, /* waits for its proof */
+    HR_PEER_LINK_READY,
+    HR_PEER_LINK_CLOSED,
+} HrPeerLinkState;
+
+/* A frame in the send queue. */
+typedef struct HrPeerQueued {
+    STAILQ_ENTRY(HrPeerQueued) entry;
+    HrBytes bytes;
+    size_t written_bytes;
+    uint64_t tag;
+} HrPeerQueued;
+
+STAILQ_HEAD(HrPeerQueue, HrPeerQueued);
+
+typedef struct HrPeerLink HrPeerLink;
+
+/* What a link tells its node. */
+typedef struct HrPeerLinkOwner {
+    HrLoop *loop;
+    const HrPeerNodeConfig *config;
+    void (*frame)(void *arg, HrPeerLink *link, HrPeerFrame *frame);
+    /* The link has ended; it must be freed, but not during the call. */
+    void (*closed)(void *arg, HrPeerLink *link, int error);
+    void *arg;
+} HrPeerLinkOwner;
+
+struct HrPeerLink {
+    UT_hash_handle by_number;
+    UT_hash_handle by_address;
+    TAILQ_ENTRY(HrPeerLink) closed_entry;
+    const HrPeerLinkOwner *owner;
+    uint64_t number;
+    bool outbound;
+    bool current; /* the link that new frames to the address take */
+    char address[HR_ADDRESS_BYTES];
+    HrPeerLinkState state;
+    int fd;
+    HrLoopFd *watch;
+    HrLoopTimer *timer;
+    int64_t opened_ns;
+    int64_t used_ns;     /* last frame of the layer above, either way */
+    int64_t received_ns; /* last byte received */
+    int64_t ping_sent_ns;
+    bool ping_open; /* no byte has arrived since the ping was sent */
+    bool sent_since_received;
+    uint64_t peer_id; /* authenticated once the link is ready */
+    uint8_t own_nonce[HR_PEER_NONCE_BYTES];
+    uint8_t peer_nonce[HR_PEER_NONCE_BYTES];
+    struct HrPeerQueue queue;     /* frames of the layer above */
+    struct HrPeerQueue handshake; /* hello, proof, ping and pong */
+    size_t queued_bytes;
+    uint8_t prefix[HR_PEER_PREFIX_BYTES];
+    uint8_t *body;
+    uint32_t body_bytes;
+    uint32_t received_bytes; /* of the prefix and the body together */
+};
+
+/* Creates a link on a connecting (outbound) or accepted socket, which it
+ * owns from then on. Returns NULL when memory runs out; the socket is then
+ * closed. */
+HrPeerLink *HrPeerLink_Create(const void *parent, const HrPeerLinkOwner *owner,
+                              int fd, bool outbound);
+
+/* Queues an encoded frame; the link takes bytes over on success. Returns 0,
+ * HR_ERR_FULL or HR_ERR_NO_MEMORY. */
+int HrPeerLink_Queue(HrPeerLink *link, HrBytes bytes, uint64_t tag);
+
+/* Closes the link and tells the owner; a second call does nothing. */
+void HrPeerLink_Close(HrPeerLink *link, int error);
+
+/* Frees a closed link. */
+void HrPeerLink_Free(HrPeerLink *link);
+
+#endif
--- /dev/null
+++ b/tests/test-peer-codec.c
@@ -0,0 +1,245 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <talloc.h>
+
+#include <cmocka.h>
+
+#include "base-rng.h"
+#include "proto-peer-codec.h"
+
+#define SEED UINT64_C(20261207)
+#define NOW_NS (5 * HR_NS_PER_S)
+
+static HrShard shards[2] = {{"s0", "g0", 0, 99},
+                            {"s1", "g1", 100, UINT64_MAX}};
+static HrIndexMap maps[2] = {{"pool", 8, shards, 2}, {"pool", 7, shards, 1}};
+static HrGroupVersion versions[2] = {{8, shards, 2, 3}, {7, shards, 1, 1}};
+static HrSubRequest requests[2];
+static const uint8_t bytes32[32] = {1, 2, 3, 4};
+
+/* Fills a frame of each kind. */
+static void
+make_frame(HrPeerFrameKind kind, HrPeerFrame *frame)
+{
+    const HrQueryId query = {UINT64_MAX, 2, 3};
+    const HrBytes bytes = {bytes32, sizeof(bytes32)};
+    uint32_t i;
+
+    memset(frame, 0, sizeof(*frame));
+    frame->kind = kind;
+    switch (kind) {
+    case HR_PEER_HELLO:
+        frame->u.hello = (HrPeerHello){1, "cluster", 42, bytes};
+        break;
+    case HR_PEER_PROOF:
+        frame->u.mac = bytes;
+        break;
+    case HR_PEER_SUB_BATCH:
+        for (i = 0; i < 2; i++) {
+            requests[i] = (HrSubRequest){query,
+                                         i + 5,
+                                         "pool",
+                                         shards[i].group,
+                                         shards[i].name,
+                                         8,
+                                         NOW_NS + 3 * HR_NS_PER_MS,
+                                         2,
+                                         true,
+                                         "caller",
+                                         bytes};
+        }
+        frame->u.sub_batch = (HrPeerSubBatch){requests, 2};
+        break;
+    case HR_PEER_SUB_ANSWER:
+        frame->u.sub_answer = (HrSubAnswer){
+            query, 5,    "s0", 8, HR_OUTCOME_UNKNOWN, HR_REASON_CONNECTION,
+            NULL,  bytes};
+        break;
+    case HR_PEER_SUB_CANCEL:
+        frame->u.sub_cancel =
+            (HrPeerSubCancel){query, "pool", "g0", 5, HR_REASON_NOT_NEEDED};
+        break;
+    case HR_PEER_MAP_PULL:
+        frame->u.map_pull = (HrPeerMapPull){"pool", 9};
+        break;
+    case HR_PEER_MAP_REPLY:
+        frame->u.map_reply = (HrPeerMapReply){"pool", 9, false, maps, 2};
+        break;
+    case HR_PEER_GROUP_REPORT:
+        frame->u.group_report = (HrPeerGroupReport){"pool", "g0", versions, 2};
+        break;
+    case HR_PEER_HANDOVER:
+        frame->u.handover = (HrPeerHandover){"pool", "g0"};
+        break;
+    case HR_PEER_PING:
+    case HR_PEER_PONG:
+        frame->u.ping = UINT64_MAX;
+        break;
+    case HR_PEER_MEMBER:
+    case HR_PEER_CONFIG:
+    case HR_PEER_CLAIM:
+        frame->u.opaque = bytes;
+        break;
+    }
+}
+
+/* Guards against a field that is lost or changed on the wire: a decoded frame
+ * encodes to the same bytes, and its main fields are compared. */
+static void
+test_round_trip(void **state)
+{
+    int kind;
+
+    (void)state;
+    for (kind = HR_PEER_HELLO; kind <= HR_PEER_CLAIM; kind++) {
+        HrPeerFrame frame, *decoded;
+        HrBytes first, second, body;
+        uint32_t length;
+
+        make_frame((HrPeerFrameKind)kind, &frame);
+        assert_int_equal(HrPeerFrame_Encode(NULL, &frame, NOW_NS, &first),
+                         HR_OK);
+        assert_int_equal(HrPeerFrame_DecodeLength(
+                             first.data, HR_PEER_FRAME_MAX_BYTES, &length),
+                         HR_OK);
+        assert_int_equal(length + HR_PEER_PREFIX_BYTES, first.length_bytes);
+        body.data = first.data + HR_PEER_PREFIX_BYTES;
+        body.length_bytes = length;
+        decoded = HrPeerFrame_Decode(NULL, body, NOW_NS, NULL);
+        assert_non_null(decoded);
+        assert_int_equal(decoded->kind, kind);
+        assert_int_equal(HrPeerFrame_Encode(NULL, decoded, NOW_NS, &second),
+                         HR_OK);
+        assert_int_equal(first.length_bytes, second.length_bytes);
+        assert_memory_equal(first.data, second.data, first.length_bytes);
+        if (kind == HR_PEER_SUB_BATCH) {
+            const HrSubRequest *last = &decoded->u.sub_batch.requests[1];
+
+            assert_true(HrQueryId_Equals(&last->query, &requests[1].query));
+            assert_int_equal(last->sub_id, 6);
+            assert_string_equal(last->shard, "s1");
+            assert_int_equal(last->deadline_ns, requests[1].deadline_ns);
+            assert_true(last->idempotent);
+        }
+        if (kind == HR_PEER_MAP_REPLY) {
+            const HrIndexMap *map = &decoded->u.map_reply.maps[0];
+
+            assert_int_equal(map->version, 8);
+            assert_true(map->shards[1].key_to == UINT64_MAX);
+        }
+        talloc_free(decoded);
+        talloc_free((void *)first.data);
+        talloc_free((void *)second.data);
+    }
+}
+
+/* Guards against crashes and unbounded memory on damaged frames. A damaged
+ * frame either fails with a typed error or decodes to something that can be
+ * encoded. */
+static void
+test_damaged_frames(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    uint32_t refused = 0;
+    int round;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (round = 0; round < 20000; round++) {
+        HrPeerFrame frame, *decoded;
+        HrBytes whole, body;
+        uint8_t *copy;
+        int changes = 1 + (int)HrRng_Below(&rng, 4);
+        HrError err = {0};
+
+        make_frame((HrPeerFrameKind)HrRng_Below(&rng, HR_PEER_CLAIM + 1),
+                   &frame);
+        assert_int_equal(HrPeerFrame_Encode(NULL, &frame, NOW_NS, &whole),
+                         HR_OK);
+        copy = (uint8_t *)whole.data + HR_PEER_PREFIX_BYTES;
+        body.data = copy;
+        body.length_bytes = whole.length_bytes - HR_PEER_PREFIX_BYTES;
+        if (HrRng_Chance(&rng, 0.3)) {
+            body.length_bytes = HrRng_Below(&rng, body.length_bytes);
+        }
+        while (changes-- > 0 && body.length_bytes > 0) {
+            copy[HrRng_Below(&rng, body.length_bytes)] =
+                (uint8_t)HrRng_Next(&rng);
+        }
+        decoded = HrPeerFrame_Decode(NULL, body, NOW_NS, &err);
+        if (decoded == NULL) {
+            refused++;
+            assert_int_not_equal(err.kind, HR_OK);
+        }
+        else {
+            HrBytes again;
+
+            assert_int_equal(
+                HrPeerFrame_Encode(decoded, decoded, NOW_NS, &again), HR_OK);
+            talloc_free(decoded);
+        }
+        talloc_free((void *)whole.data);
+    }
+    assert_true(refused > 1000);
+}
+
+/* Guards against frames that take far more memory than bytes on the wire. */
+static void
+test_memory_is_bounded(void **state)
+{
+    const size_t length = 4 * 1024 * 1024;
+    uint8_t *data = talloc_zero_array(NULL, uint8_t, length);
+    HrBytes body = {data, length};
+    size_t i;
+
+    (void)state;
+    /* A batch (field 3) whose entries (field 9) are all empty. */
+    data[0] = 3 << 3 | 2;
+    data[1] = (uint8_t)((length - 5) & 0x7f) | 0x80;
+    data[2] = (uint8_t)(((length - 5) >> 7) & 0x7f) | 0x80;
+    data[3] = (uint8_t)(((length - 5) >> 14) & 0x7f) | 0x80;
+    data[4] = (uint8_t)((length - 5) >> 21);
+    for (i = 5; i + 1 < length; i += 2) {
+        data[i] = 9 << 3 | 2;
+    }
+    assert_null(HrPeerFrame_Decode(NULL, body, NOW_NS, NULL));
+    talloc_free(data);
+}
+
+/* Guards against false lengths that are taken as true. */
+static void
+test_false_lengths(void **state)
+{
+    const uint8_t zero[4] = {0}, large[4] = {0x00, 0x80, 0x00, 0x01};
+    const uint8_t limit[4] = {0x00, 0x80, 0x00, 0x00};
+    uint32_t length;
+
+    (void)state;
+    assert_int_equal(
+        HrPeerFrame_DecodeLength(zero, HR_PEER_FRAME_MAX_BYTES, &length),
+        HR_ERR_PROTOCOL);
+    assert_int_equal(
+        HrPeerFrame_DecodeLength(large, HR_PEER_FRAME_MAX_BYTES, &length),
+        HR_ERR_PROTOCOL);
+    assert_int_equal(
+        HrPeerFrame_DecodeLength(limit, HR_PEER_FRAME_MAX_BYTES, &length),
+        HR_OK);
+    assert_int_equal(HrPeerFrame_DecodeLength(limit, 1024, &length),
+                     HR_ERR_PROTOCOL);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_round_trip),
+        cmocka_unit_test(test_damaged_frames),
+        cmocka_unit_test(test_memory_is_bounded),
+        cmocka_unit_test(test_false_lengths),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test-settings.c
@@ -0,0 +1,177 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include <cmocka.h>
+
+#include "base-rng.h"
+#include "state-settings.h"
+
+#define SEED UINT64_C(20261205)
+#define KEY "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+#define BASE                                                                  \
+    "\"cluster\":\"c1\",\"data_centre\":\"dc1\",\"region\":\"r1\","           \
+    "\"operator\":{\"listen\":\"127.0.0.1:7101\","                            \
+    "\"token\":\"0123456789abcdef\"},"
+#define PEER "\"peer\":{\"listen\":\"127.0.0.1:7102\",\"key\":\"" KEY "\"}"
+#define CALLER "\"caller\":{\"listen\":\"127.0.0.1:7100\"}"
+#define VALID "{" BASE PEER "," CALLER "}"
+
+/* Parses a text; yields the error kind. */
+static int
+parse(const char *text, HrError *err)
+{
+    HrSettings *settings =
+        HrSettings_Parse(NULL, text, strlen(text), "test.json", err);
+    int kind = settings != NULL ? HR_OK : err->kind;
+
+    talloc_free(settings);
+    return kind;
+}
+
+/* Guards against initial values that are not applied and against a key that
+ * is decoded wrongly. */
+static void
+test_valid_settings(void **state)
+{
+    HrError err;
+    HrSettings *settings =
+        HrSettings_Parse(NULL, VALID, strlen(VALID), "test.json", &err);
+    uint32_t i;
+
+    (void)state;
+    assert_non_null(settings);
+    assert_string_equal(settings->cluster, "c1");
+    assert_string_equal(settings->caller.listen, "127.0.0.1:7100");
+    assert_string_equal(settings->caller_advertise, "127.0.0.1:7100");
+    assert_string_equal(settings->peer_advertise, "127.0.0.1:7102");
+    assert_int_equal(settings->query_tasks, 1);
+    assert_int_equal(settings->caller.max_body_bytes, 1048576);
+    assert_null(settings->store_address);
+    for (i = 0; i < HR_PEER_KEY_BYTES; i++) {
+        assert_int_equal(settings->peer_key[i], i);
+    }
+    talloc_free(settings);
+}
+
+typedef struct BadCase {
+    const char *text;
+    int kind;
+    const char *field;
+} BadCase;
+
+/* Guards against a bad field that is accepted, or refused without naming
+ * file, field and remedy. */
+static void
+test_bad_fields_are_named(void **state)
+{
+    static const BadCase cases[] = {
+        {"{" BASE PEER "," CALLER ",\"clutser\":\"x\"}", HR_ERR_UNKNOWN_FIELD,
+         "clutser"},
+        {"{" BASE PEER ",\"caller\":{\"listen\":\"127.0.0.1:1\",\"x\":1}}",
+         HR_ERR_UNKNOWN_FIELD, "caller.x"},
+        {"{" BASE PEER ",\"caller\":{\"listen\":\"localhost:1\"}}",
+         HR_ERR_INVALID, "caller.listen"},
+        {"{" BASE PEER ",\"caller\":{\"listen\":\"127.0.0.1:65536\"}}",
+         HR_ERR_INVALID, "caller.listen"},
+        {"{" BASE PEER ",\"caller\":{\"listen\":7}}", HR_ERR_INVALID,
+         "caller.listen"},
+        {"{" BASE PEER ",\"caller\":{}}", HR_ERR_INVALID, "caller.listen"},
+        {"{" BASE PEER ",\"caller\":7}", HR_ERR_INVALID, "caller"},
+        {"{" BASE PEER "," CALLER ",\"tasks\":{\"query\":0}}", HR_ERR_RANGE,
+         "tasks.query"},
+        {"{" BASE PEER "," CALLER ",\"tasks\":{\"query\":65}}", HR_ERR_RANGE,
+         "tasks.query"},
+        {"{" BASE PEER "," CALLER ",\"tasks\":{\"query\":1.5}}",
+         HR_ERR_INVALID, "tasks.query"},
+        {"{" BASE PEER "," CALLER ",\"log_level\":\"loud\"}", HR_ERR_INVALID,
+         "log_level"},
+        {"{" BASE CALLER ",\"peer\":{\"listen\":\"127.0.0.1:1\","
+         "\"key\":\"00\"}}",
+         HR_ERR_INVALID, "peer.key"},
+        {"{" BASE CALLER ",\"peer\":{\"listen\":\"127.0.0.1:1\","
+         "\"key\":\"" KEY "\",\"seeds\":[\"127.0.0.1:2\",\"x\"]}}",
+         HR_ERR_INVALID, "peer.seeds"},
+    };
+    size_t i;
+
+    (void)state;
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        HrError err = {0};
+
+        assert_int_equal(parse(cases[i].text, &err), cases[i].kind);
+        assert_non_null(strstr(err.message, "test.json"));
+        assert_non_null(strstr(err.message, cases[i].field));
+    }
+}
+
+/* Guards against secrets that appear in a message. */
+static void
+test_secrets_are_not_shown(void **state)
+{
+    static const char text[] = "{\"operator\":{\"token\":\"hidden value\"}}";
+    HrError err = {0};
+
+    (void)state;
+    assert_int_equal(parse(text, &err), HR_ERR_INVALID);
+    assert_null(strstr(err.message, "hidden"));
+}
+
+/* Guards against crashes on damaged text: every text either parses or is
+ * refused with a message. */
+static void
+test_damaged_text(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    char text[sizeof(VALID)];
+    int round;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (round = 0; round < 5000; round++) {
+        HrError err = {0};
+        int changes = 1 + (int)HrRng_Below(&rng, 3);
+
+        memcpy(text, VALID, sizeof(text));
+        while (changes-- > 0) {
+            text[HrRng_Below(&rng, sizeof(text) - 1)] =
+                (char)(1 + HrRng_Below(&rng, 126));
+        }
+        if (parse(text, &err) != HR_OK) {
+            assert_true(err.message[0] != '\0');
+        }
+    }
+}
+
+/* Guards against an example that no longer parses. */
+static void
+test_example_file(void **state)
+{
+    HrError err = {0};
+    HrSettings *settings =
+        HrSettings_Load(NULL, "examples/settings.json", &err);
+
+    (void)state;
+    if (settings == NULL) {
+        fail_msg("%s", err.message);
+    }
+    talloc_free(settings);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_valid_settings),
+        cmocka_unit_test(test_bad_fields_are_named),
+        cmocka_unit_test(test_secrets_are_not_shown),
+        cmocka_unit_test(test_damaged_text),
+        cmocka_unit_test(test_example_file),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test-trans-inbox.c
@@ -0,0 +1,174 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sched.h>
+#include <talloc.h>
+
+#include <cmocka.h>
+
+#include "common-thread.h"
+
+#define SENDERS 4
+#define MESSAGES 20000
+
+typedef struct Message {
+    uint32_t sender;
+    uint32_t number;
+} Message;
+
+typedef struct Receiver {
+    HrInbox *inbox;
+    uint32_t received;
+    uint32_t next[SENDERS];
+    uint32_t disordered;
+} Receiver;
+
+typedef struct Sender {
+    pthread_t thread;
+    uint32_t index;
+    HrInbox *inbox;
+} Sender;
+
+/* Sends numbered messages; waits while the inbox is full. */
+static void *
+run_sender(void *arg)
+{
+    Sender *sender = arg;
+    uint32_t i;
+
+    for (i = 0; i < MESSAGES; i++) {
+        Message *message = talloc(NULL, Message);
+
+        message->sender = sender->index;
+        message->number = i;
+        while (HrInbox_Put(sender->inbox, message) != HR_OK) {
+            sched_yield();
+        }
+    }
+    return NULL;
+}
+
+/* Takes the messages that wait. */
+static void
+receive(void *arg, int fd, uint32_t events)
+{
+    Receiver *receiver = arg;
+    Message *message;
+
+    (void)fd;
+    (void)events;
+    HrInbox_Clear(receiver->inbox);
+    while ((message = HrInbox_Take(receiver->inbox)) != NULL) {
+        receiver->disordered +=
+            message->number != receiver->next[message->sender]++;
+        receiver->received++;
+        talloc_free(message);
+    }
+}
+
+/* Guards against messages that are lost, repeated or reordered, and against a
+ * wake-up that is missed. */
+static void
+test_all_messages_arrive_in_order(void **state)
+{
+    HrClock clock = HrClock_System();
+    HrLoop *loop = HrLoop_Create(NULL, &clock);
+    Receiver receiver = {.inbox = HrInbox_Create(loop, 64)};
+    Sender senders[SENDERS];
+    uint32_t i;
+
+    (void)state;
+    HrLoop_AddFd(loop, HrInbox_Fd(receiver.inbox), HR_LOOP_READ, receive,
+                 &receiver);
+    for (i = 0; i < SENDERS; i++) {
+        senders[i].index = i;
+        senders[i].inbox = receiver.inbox;
+        pthread_create(&senders[i].thread, NULL, run_sender, &senders[i]);
+    }
+    TestLoop_RunUntil(loop, &receiver.received, SENDERS * MESSAGES);
+    for (i = 0; i < SENDERS; i++) {
+        pthread_join(senders[i].thread, NULL);
+    }
+    assert_int_equal(receiver.disordered, 0);
+    talloc_free(loop);
+}
+
+/* Guards against an inbox without bound. */
+static void
+test_full_inbox_refuses(void **state)
+{
+    HrInbox *inbox = HrInbox_Create(NULL, 8);
+    int messages[16], accepted = 0;
+
+    (void)state;
+    while (accepted < 16 && HrInbox_Put(inbox, &messages[accepted]) == HR_OK) {
+        accepted++;
+    }
+    assert_int_equal(accepted, 7);
+    assert_ptr_equal(HrInbox_Take(inbox), &messages[0]);
+    assert_int_equal(HrInbox_Put(inbox, &messages[7]), HR_OK);
+    talloc_free(inbox);
+}
+
+typedef struct TimerRecord {
+    char order[8];
+    uint32_t count;
+} TimerRecord;
+
+typedef struct TimerCase {
+    TimerRecord *record;
+    char name;
+} TimerCase;
+
+/* Notes which timer fired. */
+static void
+note_timer(void *arg)
+{
+    TimerCase *timer = arg;
+
+    timer->record->order[timer->record->count++] = timer->name;
+}
+
+/* Guards against timers that fire early, twice or out of order. */
+static void
+test_timers_fire_in_order(void **state)
+{
+    HrClock clock = HrClock_Manual(1000, 0);
+    HrLoop *loop = HrLoop_Create(NULL, &clock);
+    TimerRecord record = {{0}, 0};
+    TimerCase a = {&record, 'a'}, b = {&record, 'b'}, c = {&record, 'c'};
+    HrLoopTimer *first = HrLoop_AddTimer(loop, note_timer, &a);
+    HrLoopTimer *second = HrLoop_AddTimer(loop, note_timer, &b);
+    HrLoopTimer *third = HrLoop_AddTimer(loop, note_timer, &c);
+
+    (void)state;
+    HrLoop_SetTimer(loop, first, 3000);
+    HrLoop_SetTimer(loop, second, 2000);
+    HrLoop_SetTimer(loop, third, 2000);
+    HrLoop_RunOnce(loop, 0);
+    assert_int_equal(record.count, 0);
+    HrClock_Advance(&clock, 1000);
+    HrLoop_RunOnce(loop, 0);
+    assert_string_equal(record.order, "bc");
+    HrLoop_SetTimer(loop, second, 2500);
+    HrLoop_SetTimer(loop, second, HR_TIME_NEVER);
+    HrClock_Advance(&clock, 5000);
+    HrLoop_RunOnce(loop, 0);
+    HrLoop_RunOnce(loop, 0);
+    assert_string_equal(record.order, "bca");
+    talloc_free(loop);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_all_messages_arrive_in_order),
+        cmocka_unit_test(test_full_inbox_refuses),
+        cmocka_unit_test(test_timers_fire_in_order),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test-trans-peer.c
@@ -0,0 +1,363 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base-rng.h"
+#include "common-thread.h"
+#include "trans-peer.h"
+
+#define SEED UINT64_C(20261206)
+
+static const uint8_t good_key[32] = {1, 2, 3};
+static const uint8_t bad_key[32] = {9, 9, 9};
+
+/* A node that answers each entry of a batch on the same link. */
+typedef struct Echo {
+    TestThread thread;
+    HrPeerNode *node;
+    uint16_t port;
+    HrCounters counters;
+} Echo;
+
+/* Answers a batch. */
+static void
+handle_echo(void *arg, const HrPeerEvent *event)
+{
+    Echo *echo = arg;
+    const HrPeerSubBatch *batch;
+    uint32_t i;
+
+    if (event->kind != HR_PEER_EVENT_FRAME) {
+        return;
+    }
+    batch = &event->frame->u.sub_batch;
+    for (i = 0;
+         event->frame->kind == HR_PEER_SUB_BATCH && i < batch->request_count;
+         i++) {
+        HrPeerFrame answer = {.kind = HR_PEER_SUB_ANSWER};
+
+        answer.u.sub_answer.query = batch->requests[i].query;
+        answer.u.sub_answer.sub_id = batch->requests[i].sub_id;
+        answer.u.sub_answer.shard = batch->requests[i].shard;
+        answer.u.sub_answer.version = batch->requests[i].version;
+        answer.u.sub_answer.payload = batch->requests[i].payload;
+        HrPeerNode_Reply(echo->node, event->link, &answer, 0);
+    }
+    talloc_free(event->frame);
+}
+
+/* Returns the configuration of a node on loopback. */
+static HrPeerNodeConfig
+node_config(uint64_t id, const char *cluster, const uint8_t *key,
+            HrPeerEventFn *fn, void *arg, HrCounters *counters)
+{
+    HrPeerNodeConfig config;
+
+    HrPeerNodeConfig_Default(&config);
+    config.cluster = cluster;
+    config.key = key;
+    config.daemon_id = id;
+    config.listen = "127.0.0.1:0";
+    config.counters = counters;
+    config.fn = fn;
+    config.arg = arg;
+    return config;
+}
+
+/* Starts the echo node. */
+static void
+start_echo(TestThread *thread)
+{
+    Echo *echo = thread->arg;
+    HrPeerNodeConfig config =
+        node_config(2, "c1", good_key, handle_echo, echo, &echo->counters);
+
+    echo->node = HrPeerNode_Create(NULL, thread->loop, &config, NULL);
+    echo->port = echo->node != NULL ? HrPeerNode_Port(echo->node) : 0;
+}
+
+/* Stops the echo node. */
+static void
+stop_echo(TestThread *thread)
+{
+    talloc_free(((Echo *)thread->arg)->node);
+}
+
+/* What the test's own node has seen. */
+typedef struct Seen {
+    uint32_t answers;
+    uint32_t wrong;
+    uint32_t unsent;
+    uint32_t closed;
+    uint64_t last_tag;
+} Seen;
+
+/* Counts events. */
+static void
+count_event(void *arg, const HrPeerEvent *event)
+{
+    Seen *seen = arg;
+
+    switch (event->kind) {
+    case HR_PEER_EVENT_FRAME:
+        seen->answers++;
+        seen->wrong += event->daemon_id != 2 ||
+                       event->frame->kind != HR_PEER_SUB_ANSWER ||
+                       event->frame->u.sub_answer.payload.length_bytes != 3000;
+        talloc_free(event->frame);
+        break;
+    case HR_PEER_EVENT_UNSENT:
+        seen->unsent++;
+        seen->last_tag = event->tag;
+        break;
+    case HR_PEER_EVENT_CLOSED:
+        seen->closed++;
+        break;
+    }
+}
+
+/* The client side of a test. */
+typedef struct Fixture {
+    Echo echo;
+    HrClock clock;
+    HrLoop *loop;
+    HrPeerNode *node;
+    HrCounters counters;
+    Seen seen;
+    char address[HR_ADDRESS_BYTES];
+} Fixture;
+
+/* Starts both nodes. */
+static void
+set_up(Fixture *fixture, const char *cluster, const uint8_t *key,
+       uint32_t queue_bytes)
+{
+    HrPeerNodeConfig config = node_config(1, cluster, key, count_event,
+                                          &fixture->seen, &fixture->counters);
+
+    memset(fixture, 0, sizeof(*fixture));
+    config.queue_bytes = queue_bytes;
+    TestThread_Start(&fixture->echo.thread, start_echo, stop_echo,
+                     &fixture->echo);
+    assert_true(fixture->echo.port != 0);
+    snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%u",
+             fixture->echo.port);
+    fixture->clock = HrClock_System();
+    fixture->loop = HrLoop_Create(NULL, &fixture->clock);
+    fixture->node = HrPeerNode_Create(NULL, fixture->loop, &config, NULL);
+    assert_non_null(fixture->node);
+}
+
+/* Stops both nodes. */
+static void
+tear_down(Fixture *fixture)
+{
+    talloc_free(fixture->node);
+    talloc_free(fixture->loop);
+    TestThread_Stop(&fixture->echo.thread);
+}
+
+/* Sends a batch of count entries; returns the result of the send. */
+static int
+send_batch(Fixture *fixture, const char *address, uint32_t count, uint64_t tag,
+           bool fresh)
+{
+    static const uint8_t payload[3000];
+    HrSubRequest requests[30];
+    HrPeerFrame frame = {.kind = HR_PEER_SUB_BATCH};
+    uint64_t link;
+    uint32_t i;
+
+    memset(requests, 0, sizeof(requests));
+    for (i = 0; i < count; i++) {
+        requests[i].query.counter = tag;
+        requests[i].sub_id = i;
+        requests[i].pool = "pool";
+        requests[i].group = "group";
+        requests[i].shard = "shard";
+        requests[i].version = 7;
+        requests[i].payload.data = payload;
+        requests[i].payload.length_bytes = sizeof(payload);
+    }
+    frame.u.sub_batch.requests = requests;
+    frame.u.sub_batch.request_count = count;
+    return HrPeerNode_Send(fixture->node, address, fresh, &frame, tag, &link);
+}
+
+/* Guards against frames that are lost, repeated or damaged on a link, and
+ * against a second link to the same address. */
+static void
+test_batches_are_answered(void **state)
+{
+    Fixture fixture;
+    uint64_t i;
+
+    (void)state;
+    set_up(&fixture, "c1", good_key, 1 << 24);
+    for (i = 1; i <= 200; i++) {
+        assert_int_equal(
+            send_batch(&fixture, fixture.address, 30, i, i == 100), HR_OK);
+    }
+    TestLoop_RunUntil(fixture.loop, &fixture.seen.answers, 200 * 30);
+    assert_int_equal(fixture.seen.answers, 200 * 30);
+    assert_int_equal(fixture.seen.wrong, 0);
+    assert_int_equal(HrPeerNode_LinkCount(fixture.node), 2);
+    assert_int_equal(
+        HrCounters_Get(&fixture.counters, HR_COUNTER_peer_links_opened), 2);
+    tear_down(&fixture);
+}
+
+/* Guards against a send queue without bound, and against frames that vanish
+ * without a report when no link can be opened. */
+static void
+test_unsent_frames_are_reported(void **state)
+{
+    Fixture fixture;
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof(in);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    char address[HR_ADDRESS_BYTES];
+
+    (void)state;
+    set_up(&fixture, "c1", good_key, 65536);
+    assert_int_equal(bind(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+    getsockname(fd, (struct sockaddr *)&in, &length);
+    snprintf(address, sizeof(address), "127.0.0.1:%u", ntohs(in.sin_port));
+    assert_int_equal(send_batch(&fixture, address, 30, 1, false), HR_OK);
+    assert_int_equal(send_batch(&fixture, address, 30, 2, false), HR_OK);
+    while (send_batch(&fixture, address, 30, 0, false) == HR_OK) {
+        assert_true(HrPeerNode_QueuedBytes(fixture.node) <= 65536);
+    }
+    TestLoop_RunUntil(fixture.loop, &fixture.seen.closed, 1);
+    assert_int_equal(fixture.seen.unsent, 2);
+    assert_int_equal(fixture.seen.last_tag, 2);
+    assert_true(
+        HrCounters_Get(&fixture.counters, HR_COUNTER_peer_queue_full) >= 1);
+    assert_int_equal(send_batch(&fixture, "nowhere", 1, 3, false),
+                     HR_ERR_INVALID);
+    close(fd);
+    tear_down(&fixture);
+}
+
+/* Guards against a daemon of another cluster, or with another key, whose
+ * frames are taken. */
+static void
+test_strangers_are_refused(void **state)
+{
+    Fixture fixture;
+
+    (void)state;
+    set_up(&fixture, "c2", good_key, 1 << 24);
+    assert_int_equal(send_batch(&fixture, fixture.address, 30, 1, false),
+                     HR_OK);
+    TestLoop_RunUntil(fixture.loop, &fixture.seen.closed, 1);
+    assert_int_equal(fixture.seen.unsent, 1);
+    assert_int_equal(
+        HrCounters_Get(&fixture.echo.counters, HR_COUNTER_peer_wrong_cluster),
+        1);
+    tear_down(&fixture);
+
+    set_up(&fixture, "c1", bad_key, 1 << 24);
+    assert_int_equal(send_batch(&fixture, fixture.address, 30, 1, false),
+                     HR_OK);
+    TestLoop_RunUntil(fixture.loop, &fixture.seen.closed, 1);
+    assert_int_equal(fixture.seen.unsent, 1);
+    assert_int_equal(
+        HrCounters_Get(&fixture.counters, HR_COUNTER_peer_failed_proof), 1);
+    assert_int_equal(
+        HrCounters_Get(&fixture.echo.counters, HR_COUNTER_peer_links_opened),
+        0);
+    tear_down(&fixture);
+}
+
+/* Sends bytes on a new connection and waits until the node closes it. */
+static void
+send_raw(uint16_t port, const uint8_t *data, size_t length)
+{
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_port = htons(port),
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    char sink[512];
+
+    assert_int_equal(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+    if (send(fd, data, length, MSG_NOSIGNAL) == (ssize_t)length) {
+        shutdown(fd, SHUT_WR);
+    }
+    while (recv(fd, sink, sizeof(sink), 0) > 0) {
+    }
+    close(fd);
+}
+
+/* Guards against a node that crashes, keeps a link open or stops serving
+ * others after malformed input: false lengths, truncated frames, noise and
+ * frames before the handshake. */
+static void
+test_malformed_input(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    Fixture fixture;
+    uint8_t nonce[HR_PEER_NONCE_BYTES] = {0};
+    HrPeerFrame hello = {.kind = HR_PEER_HELLO};
+    HrBytes valid;
+    int round;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    set_up(&fixture, "c1", good_key, 1 << 24);
+    hello.u.hello.protocol = HR_PEER_PROTOCOL;
+    hello.u.hello.cluster = "c1";
+    hello.u.hello.daemon_id = 77;
+    hello.u.hello.nonce.data = nonce;
+    hello.u.hello.nonce.length_bytes = sizeof(nonce);
+    assert_int_equal(HrPeerFrame_Encode(NULL, &hello, 0, &valid), HR_OK);
+    for (round = 0; round < 300; round++) {
+        uint8_t data[256] = {0};
+        size_t length = 1 + HrRng_Below(&rng, valid.length_bytes);
+
+        memcpy(data, valid.data, valid.length_bytes);
+        if (round % 3 != 0) {
+            data[HrRng_Below(&rng, valid.length_bytes)] =
+                (uint8_t)HrRng_Next(&rng);
+            length = valid.length_bytes;
+        }
+        if (round % 3 == 2) {
+            memcpy(data + length, data, 40);
+            length += 40;
+        }
+        send_raw(fixture.echo.port, data, length);
+    }
+    talloc_free((void *)valid.data);
+    assert_int_equal(send_batch(&fixture, fixture.address, 30, 1, false),
+                     HR_OK);
+    TestLoop_RunUntil(fixture.loop, &fixture.seen.answers, 30);
+    tear_down(&fixture);
+    assert_true(HrCounters_Get(&fixture.echo.counters,
+                               HR_COUNTER_peer_bad_length) > 0);
+    assert_true(HrCounters_Get(&fixture.echo.counters,
+                               HR_COUNTER_peer_bad_frames) > 0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_batches_are_answered),
+        cmocka_unit_test(test_unsent_frames_are_reported),
+        cmocka_unit_test(test_strangers_are_refused),
+        cmocka_unit_test(test_malformed_input),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
