Add index map merging and the gather of one query

A sub-request id packs epoch, candidate rank and shard number, so the gather keeps no table of attempts. Shard names are copied from the pinned map, so that the driver may drop its map set while queries run.

--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -14,3 +14,9 @@
 HR_COUNTER(sub_answers_dropped, answers,
            "answers that matched no open attempt")
 HR_COUNTER(log_events_suppressed, events, "log events left out by the limit")
+HR_COUNTER(gather_restarts, queries,
+           "queries restarted because their index version was lost")
+HR_COUNTER(gather_failovers, requests,
+           "sub-requests sent to a further scheduling daemon")
+HR_COUNTER(gather_bad_answers, answers,
+           "sub-answers of a wrong shard or version, or without payload")
--- /dev/null
+++ b/src/coord-gather.c
@@ -0,0 +1,235 @@
+#include "coord-gather-state.h"
+
+#include <talloc.h>
+
+#define DEFAULT_MARGIN_NS (2 * HR_NS_PER_MS)
+#define DEFAULT_RESTART_MIN_NS (5 * HR_NS_PER_MS)
+#define DEFAULT_CANDIDATES 4
+#define DEFAULT_MAX_PAYLOAD_BYTES (UINT64_C(64) << 20)
+/* The margin takes at most one part in this many of a short deadline. */
+#define MARGIN_DIVISOR 4
+
+/* Returns the default configuration. */
+HrGatherConfig
+HrGatherConfig_Default(void)
+{
+    HrGatherConfig config = {
+        .margin_ns = DEFAULT_MARGIN_NS,
+        .restart_min_ns = DEFAULT_RESTART_MIN_NS,
+        .candidate_count = DEFAULT_CANDIDATES,
+        .max_payload_bytes = DEFAULT_MAX_PAYLOAD_BYTES,
+    };
+
+    return config;
+}
+
+/* Creates the state of one query; returns NULL when memory runs out. */
+HrGather *
+HrGather_Create(const void *parent, const HrGatherConfig *config,
+                const HrQueryId *query)
+{
+    HrGather *gather = talloc_zero(parent, HrGather);
+
+    if (gather == NULL) {
+        return NULL;
+    }
+    gather->config = *config;
+    if (gather->config.candidate_count > HR_GATHER_MAX_CANDIDATES) {
+        gather->config.candidate_count = HR_GATHER_MAX_CANDIDATES;
+    }
+    gather->query = *query;
+    gather->idempotent = true;
+    return gather;
+}
+
+/* Copies the parts of the route that the query needs. */
+static int
+copy_route(HrGather *gather, const HrGatherStart *start)
+{
+    const HrRoute *route = start->route;
+
+    gather->idempotent = route->idempotent;
+    gather->single = route->finish == HR_FINISH_SINGLE || !route->idempotent;
+    gather->priority = route->priority;
+    gather->enough_percent = 100;
+    if (route->finish == HR_FINISH_ENOUGH && start->want == HR_WANT_PARTIAL &&
+        route->enough_percent < 100) {
+        gather->enough_percent = route->enough_percent;
+    }
+    gather->pool = talloc_strdup(gather, route->pool);
+    if (gather->pool == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    if (gather->single && start->key != NULL) {
+        gather->key = talloc_strdup(gather, start->key);
+        if (gather->key == NULL) {
+            return HR_ERR_NO_MEMORY;
+        }
+    }
+    return HR_OK;
+}
+
+/* Returns when the answer is due. */
+static int64_t
+find_answer_time(const HrGather *gather, int64_t deadline_ns, int64_t now_ns)
+{
+    int64_t margin_ns = (deadline_ns - now_ns) / MARGIN_DIVISOR;
+
+    if (margin_ns > gather->config.margin_ns) {
+        margin_ns = gather->config.margin_ns;
+    }
+    return deadline_ns - margin_ns;
+}
+
+/* Starts the query, or refuses it. */
+static int
+handle_start(HrGather *gather, const HrGatherStart *start, int64_t now_ns)
+{
+    const HrIndexMap *map;
+
+    if (copy_route(gather, start) != HR_OK) {
+        return HR_ERR_NO_MEMORY;
+    }
+    gather->payload = start->payload;
+    gather->caller = start->caller;
+    gather->answer.started_ns = now_ns;
+    if (start->deadline_ns <= now_ns) {
+        return HrGather_Finish(gather, HR_REASON_DEADLINE, now_ns);
+    }
+    map = HrGather_FindMap(gather, start->maps, 0);
+    if (map == NULL) {
+        return HrGather_Finish(gather, HR_REASON_NO_INDEX, now_ns);
+    }
+    gather->answer_at_ns =
+        find_answer_time(gather, start->deadline_ns, now_ns);
+    gather->map_revision = start->maps->revision;
+    if (HrGather_Pin(gather, map, 0, now_ns) != HR_OK) {
+        return HR_ERR_NO_MEMORY;
+    }
+    gather->phase = HR_PHASE_RUNNING;
+    return HR_OK;
+}
+
+/* Handles an event of a running query before its answer is due. */
+static int
+handle_running(HrGather *gather, const HrGatherEvent *event)
+{
+    switch (event->kind) {
+    case HR_GATHER_START:
+        return HR_ERR_INVALID;
+    case HR_GATHER_SUB_ANSWER:
+        return HrGather_HandleAnswer(gather, event->u.answer, event->now_ns);
+    case HR_GATHER_PEER_FAILURE:
+        return HrGather_HandlePeerFailure(gather, &event->u.failure,
+                                          event->now_ns);
+    case HR_GATHER_MAPS:
+        return HrGather_HandleMaps(gather, event->u.maps, event->now_ns);
+    case HR_GATHER_TIMER:
+        return HR_OK;
+    case HR_GATHER_CANCEL:
+        return HrGather_Finish(gather, HR_REASON_CANCELLED, event->now_ns);
+    }
+    return HR_ERR_INVALID;
+}
+
+/* Handles one event. Events after the finish are ignored. */
+int
+HrGather_Handle(HrGather *gather, const HrGatherEvent *event)
+{
+    switch (gather->phase) {
+    case HR_PHASE_NEW:
+        if (event->kind != HR_GATHER_START) {
+            return HR_ERR_INVALID;
+        }
+        return handle_start(gather, &event->u.start, event->now_ns);
+    case HR_PHASE_RUNNING:
+        if (event->now_ns >= gather->answer_at_ns) {
+            return HrGather_Finish(gather, HR_REASON_DEADLINE, event->now_ns);
+        }
+        return handle_running(gather, event);
+    case HR_PHASE_FINISHED:
+        break;
+    }
+    return HR_OK;
+}
+
+/* Fills a send action. Returns false when the attempt was superseded before
+ * the driver popped it; it then counts as not sent. */
+static bool
+take_send(HrGather *gather, uint32_t sub_id, HrGatherSend *send)
+{
+    HrGatherSubId id = HrGatherSubId_Unpack(sub_id);
+    HrGatherSnapshot *snapshot = gather->snapshot;
+    HrGatherShard *shard;
+
+    if (gather->phase == HR_PHASE_FINISHED || id.epoch != snapshot->epoch) {
+        return false;
+    }
+    shard = &snapshot->shards[id.index];
+    if (shard->state != HR_SHARD_OPEN || shard->rank != id.rank) {
+        return false;
+    }
+    shard->sent = true;
+    send->rank = id.rank;
+    send->request = (HrSubRequest){
+        .query = gather->query,
+        .sub_id = sub_id,
+        .pool = gather->pool,
+        .group = shard->group,
+        .shard = shard->name,
+        .version = snapshot->version,
+        .deadline_ns = gather->answer_at_ns,
+        .priority = gather->priority,
+        .idempotent = gather->idempotent,
+        .caller = gather->caller,
+        .payload = gather->payload,
+    };
+    return true;
+}
+
+/* Fills an action; returns false when it is no longer needed. */
+static bool
+take_action(HrGather *gather, const HrGatherPending *pending,
+            HrGatherAction *action)
+{
+    action->kind = pending->kind;
+    switch (pending->kind) {
+    case HR_GATHER_SEND:
+        return take_send(gather, pending->sub_id, &action->u.send);
+    case HR_GATHER_CANCEL_SUB:
+        action->u.cancel.sub_id = pending->sub_id;
+        action->u.cancel.group = pending->group;
+        action->u.cancel.rank = HrGatherSubId_Unpack(pending->sub_id).rank;
+        return true;
+    case HR_GATHER_PULL_MAPS:
+        action->u.pull.pool = gather->pool;
+        action->u.pull.known_revision = gather->map_revision;
+        return gather->phase == HR_PHASE_RUNNING;
+    case HR_GATHER_FINISH:
+        action->u.answer = &gather->answer;
+        return true;
+    }
+    return false;
+}
+
+/* Pops the next action; returns false when there is none. */
+bool
+HrGather_Next(HrGather *gather, HrGatherAction *action)
+{
+    HrGatherPending pending;
+
+    while (HrGatherQueue_Pop(&gather->queue, &pending)) {
+        if (take_action(gather, &pending, action)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns when the next timer event is due; HR_TIME_NEVER: none. */
+int64_t
+HrGather_NextTimer(const HrGather *gather)
+{
+    return gather->phase == HR_PHASE_RUNNING ? gather->answer_at_ns
+                                             : HR_TIME_NEVER;
+}
--- /dev/null
+++ b/src/state-index-map.c
@@ -0,0 +1,335 @@
+#include "state-index-map.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base-rng.h"
+
+/* Every daemon must hash keys with the same seed, or they would look for one
+ * key in different shards. */
+#define KEY_HASH_SEED UINT64_C(0)
+
+/* A reported shard, with the servers of its group that hold it. */
+typedef struct ReportedShard {
+    const HrShard *shard;
+    uint32_t live_servers;
+} ReportedShard;
+
+/* Returns the hash of a key, which decides its shard. */
+uint64_t
+HrIndexMap_HashKey(const char *key)
+{
+    return HrHash_String(key, KEY_HASH_SEED);
+}
+
+/* Returns true if the sorted shards cover every hash exactly once. */
+bool
+HrIndexMap_IsUsable(const HrIndexMap *map)
+{
+    uint64_t next = 0;
+    uint32_t i;
+
+    for (i = 0; i < map->shard_count; i++) {
+        const HrShard *shard = &map->shards[i];
+
+        if (shard->key_from != next || shard->key_to < shard->key_from) {
+            return false;
+        }
+        if (shard->key_to == UINT64_MAX) {
+            return i + 1 == map->shard_count;
+        }
+        next = shard->key_to + 1;
+    }
+    return false;
+}
+
+/* Returns the shard that holds a key, or NULL when no shard does. */
+const HrShard *
+HrIndexMap_FindShard(const HrIndexMap *map, const char *key)
+{
+    uint64_t hash = HrIndexMap_HashKey(key);
+    uint32_t low = 0, high = map->shard_count;
+
+    while (low < high) {
+        uint32_t middle = low + (high - low) / 2;
+        const HrShard *shard = &map->shards[middle];
+
+        if (hash < shard->key_from) {
+            high = middle;
+        }
+        else if (hash > shard->key_to) {
+            low = middle + 1;
+        }
+        else {
+            return shard;
+        }
+    }
+    return NULL;
+}
+
+/* Orders versions from new to old, for qsort. */
+static int
+compare_versions(const void *left, const void *right)
+{
+    uint64_t a = *(const uint64_t *)left, b = *(const uint64_t *)right;
+
+    return (a < b) - (a > b);
+}
+
+/* Orders reported shards by range and name, and copies of one shard from many
+ * live servers to few. */
+static int
+compare_reported(const void *left, const void *right)
+{
+    const ReportedShard *a = left, *b = right;
+    int order;
+
+    if (a->shard->key_from != b->shard->key_from) {
+        return a->shard->key_from < b->shard->key_from ? -1 : 1;
+    }
+    if (a->shard->key_to != b->shard->key_to) {
+        return a->shard->key_to < b->shard->key_to ? -1 : 1;
+    }
+    order = strcmp(a->shard->name, b->shard->name);
+    if (order != 0) {
+        return order;
+    }
+    if (a->live_servers != b->live_servers) {
+        return a->live_servers > b->live_servers ? -1 : 1;
+    }
+    return strcmp(a->shard->group, b->shard->group);
+}
+
+/* Orders names for qsort. */
+static int
+compare_names(const void *left, const void *right)
+{
+    return strcmp(*(const char *const *)left, *(const char *const *)right);
+}
+
+/* Returns true if both reports are of the same shard. */
+static bool
+is_same_shard(const HrShard *left, const HrShard *right)
+{
+    return left->key_from == right->key_from &&
+           left->key_to == right->key_to &&
+           strcmp(left->name, right->name) == 0;
+}
+
+/* Lists the distinct versions that any group reports, newest first. Returns
+ * NULL when memory runs out. */
+static uint64_t *
+list_versions(const void *parent, const HrGroupVersion *const *groups,
+              const uint32_t *counts, uint32_t group_count,
+              uint32_t *version_count)
+{
+    uint32_t i, j, total = 0, kept = 0;
+    uint64_t *versions;
+
+    for (i = 0; i < group_count; i++) {
+        total += counts[i];
+    }
+    versions = talloc_array(parent, uint64_t, total + 1);
+    if (versions == NULL) {
+        return NULL;
+    }
+    total = 0;
+    for (i = 0; i < group_count; i++) {
+        for (j = 0; j < counts[i]; j++) {
+            versions[total++] = groups[i][j].version;
+        }
+    }
+    qsort(versions, total, sizeof(*versions), compare_versions);
+    for (i = 0; i < total; i++) {
+        if (i == 0 || versions[i] != versions[i - 1]) {
+            versions[kept++] = versions[i];
+        }
+    }
+    *version_count = kept;
+    return versions;
+}
+
+/* Collects the shards that the groups report for a version, sorted and
+ * without copies. Returns NULL when memory runs out. */
+static ReportedShard *
+collect_shards(const void *parent, uint64_t version,
+               const HrGroupVersion *const *groups, const uint32_t *counts,
+               uint32_t group_count, uint32_t *shard_count)
+{
+    ReportedShard *reported = talloc_array(parent, ReportedShard, 0);
+    uint32_t i, j, k, total = 0, kept = 0;
+
+    for (i = 0; i < group_count && reported != NULL; i++) {
+        for (j = 0; j < counts[i] && reported != NULL; j++) {
+            const HrGroupVersion *held = &groups[i][j];
+
+            if (held->version != version) {
+                continue;
+            }
+            reported = talloc_realloc(parent, reported, ReportedShard,
+                                      total + held->shard_count);
+            for (k = 0; reported != NULL && k < held->shard_count; k++) {
+                reported[total].shard = &held->shards[k];
+                reported[total++].live_servers = held->live_servers;
+            }
+        }
+    }
+    if (reported == NULL) {
+        return NULL;
+    }
+    if (total > 0) {
+        qsort(reported, total, sizeof(*reported), compare_reported);
+    }
+    for (i = 0; i < total; i++) {
+        if (kept == 0 ||
+            !is_same_shard(reported[kept - 1].shard, reported[i].shard)) {
+            reported[kept++] = reported[i];
+        }
+    }
+    *shard_count = kept;
+    return reported;
+}
+
+/* Copies the reported shards into a new map. Returns NULL when memory runs
+ * out. */
+static HrIndexMap *
+copy_map(const void *parent, const char *pool, uint64_t version,
+         const ReportedShard *reported, uint32_t count)
+{
+    HrIndexMap *map = talloc_zero(parent, HrIndexMap);
+    uint32_t i;
+
+    if (map == NULL) {
+        return NULL;
+    }
+    map->version = version;
+    map->pool = talloc_strdup(map, pool);
+    map->shards = talloc_zero_array(map, HrShard, count + 1);
+    if (map->pool == NULL || map->shards == NULL) {
+        talloc_free(map);
+        return NULL;
+    }
+    for (i = 0; i < count; i++) {
+        HrShard *shard = &map->shards[i];
+
+        *shard = *reported[i].shard;
+        shard->name = talloc_strdup(map->shards, reported[i].shard->name);
+        shard->group = talloc_strdup(map->shards, reported[i].shard->group);
+        if (shard->name == NULL || shard->group == NULL) {
+            talloc_free(map);
+            return NULL;
+        }
+    }
+    map->shard_count = count;
+    return map;
+}
+
+/* Returns true if two shards share a name: an answer could then not say which
+ * one contributed. A failed allocation counts as true. */
+static bool
+has_repeated_name(const HrIndexMap *map)
+{
+    const char **names = talloc_array(map, const char *, map->shard_count + 1);
+    bool repeated = names == NULL;
+    uint32_t i;
+
+    for (i = 0; !repeated && i < map->shard_count; i++) {
+        names[i] = map->shards[i].name;
+    }
+    if (!repeated) {
+        qsort(names, map->shard_count, sizeof(*names), compare_names);
+    }
+    for (i = 1; !repeated && i < map->shard_count; i++) {
+        repeated = strcmp(names[i - 1], names[i]) == 0;
+    }
+    talloc_free(names);
+    return repeated;
+}
+
+/* Returns true if each reported shard has a server that holds it. */
+static bool
+is_live(const ReportedShard *reported, uint32_t count)
+{
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        if (reported[i].live_servers == 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Adds the map of one version to the set if it is usable. *live_only says
+ * whether the set holds only maps whose shards all have live servers. */
+static int
+merge_version(HrIndexMapSet *set, const char *pool, uint64_t version,
+              const HrGroupVersion *const *groups, const uint32_t *counts,
+              uint32_t group_count, bool *live_only)
+{
+    uint32_t count = 0;
+    ReportedShard *reported =
+        collect_shards(set, version, groups, counts, group_count, &count);
+    HrIndexMap *map;
+    bool live;
+
+    if (reported == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    live = is_live(reported, count);
+    map = copy_map(set, pool, version, reported, count);
+    talloc_free(reported);
+    if (map == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    if (!HrIndexMap_IsUsable(map) || has_repeated_name(map) ||
+        (*live_only && !live)) {
+        talloc_free(map);
+        return HR_OK;
+    }
+    if (live && !*live_only) {
+        while (set->map_count > 0) {
+            talloc_free(set->maps[--set->map_count]);
+        }
+        *live_only = true;
+    }
+    set->maps[set->map_count++] = map;
+    return HR_OK;
+}
+
+/* Builds the usable maps, newest first. A version with a shard that has no
+ * live server is left out if another version has live servers for every
+ * shard; otherwise it stays, so that the loss of one group costs its shards
+ * and not the whole pool. */
+HrIndexMapSet *
+HrIndexMapSet_Merge(const void *parent, const char *pool,
+                    const HrGroupVersion *const *groups,
+                    const uint32_t *counts, uint32_t group_count,
+                    uint64_t revision)
+{
+    HrIndexMapSet *set = talloc_zero(parent, HrIndexMapSet);
+    uint32_t i, version_count = 0;
+    bool live_only = false;
+    uint64_t *versions;
+
+    if (set == NULL) {
+        return NULL;
+    }
+    set->revision = revision;
+    versions = list_versions(set, groups, counts, group_count, &version_count);
+    set->maps = talloc_zero_array(set, HrIndexMap *, version_count + 1);
+    if (versions == NULL || set->maps == NULL) {
+        talloc_free(set);
+        return NULL;
+    }
+    for (i = 0; i < version_count; i++) {
+        if (merge_version(set, pool, versions[i], groups, counts, group_count,
+                          &live_only) != HR_OK) {
+            talloc_free(set);
+            return NULL;
+        }
+    }
+    talloc_free(versions);
+    return set;
+}
