--- a/src/coord-gather-restart.c
+++ b/src/coord-gather-restart.c
@@ -151,8 +151,13 @@
 {
     const HrIndexMap *map;
 
-    if (gather->snapshot->state_counts[HR_SHARD_LOST] == 0 ||
-        gather->pull != HR_PULL_AWAITED) {
+    if (gather->pull != HR_PULL_AWAITED) {
+        return HR_OK;
+    }
+    /* A late answer may have made up for the loss since maps were asked for;
+     * the next loss asks again. */
+    if (gather->snapshot->state_counts[HR_SHARD_LOST] == 0) {
+        gather->pull = HR_PULL_NONE;
         return HR_OK;
     }
     gather->pull = HR_PULL_USED;
--- a/src/coord-gather.c
+++ b/src/coord-gather.c
@@ -98,7 +98,13 @@
     }
     map = HrGather_FindMap(gather, start->maps, 0);
     if (map == NULL) {
-        return HrGather_Finish(gather, HR_REASON_NO_INDEX, now_ns);
+        bool has_maps = start->maps != NULL && start->maps->map_count > 0;
+        bool lacks_key = gather->single && gather->key == NULL;
+
+        return HrGather_Finish(gather,
+                               has_maps && lacks_key ? HR_REASON_NO_ROUTE
+                                                     : HR_REASON_NO_INDEX,
+                               now_ns);
     }
     gather->answer_at_ns =
         find_answer_time(gather, start->deadline_ns, now_ns);
