--- /dev/null
+++ b/tests/test-index-map.c
@@ -0,0 +1,255 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include <cmocka.h>
+
+#include "base-rng.h"
+#include "state-index-map.h"
+
+#define SEED UINT64_C(20261204)
+#define MERGES 20000
+#define MAX_GROUPS 4
+#define MAX_VERSIONS 3
+#define RANGES 4 /* the hashes are divided into this many ranges */
+
+#define RANGE_STEP (UINT64_C(1) << 62)
+
+/* Returns the shard of one range. */
+static HrShard
+make_shard(const char *name, const char *group, uint32_t range)
+{
+    HrShard shard = {
+        .name = name,
+        .group = group,
+        .key_from = range * RANGE_STEP,
+        .key_to = range * RANGE_STEP + (RANGE_STEP - 1),
+    };
+
+    return shard;
+}
+
+/* Guards against a map with a hole, an overlap or a missing end that is
+ * pinned, so that keys are lost or counted twice. */
+static void
+test_usable_only_when_covered_once(void **state)
+{
+    HrShard shards[3] = {
+        {"a", "g", 0, 99}, {"b", "g", 100, 199}, {"c", "g", 200, UINT64_MAX}};
+    HrIndexMap map = {"pool", 1, shards, 3};
+
+    (void)state;
+    assert_true(HrIndexMap_IsUsable(&map));
+    shards[1].key_from = 101;
+    assert_false(HrIndexMap_IsUsable(&map));
+    shards[1].key_from = 99;
+    assert_false(HrIndexMap_IsUsable(&map));
+    shards[1].key_from = 100;
+    shards[2].key_to = UINT64_MAX - 1;
+    assert_false(HrIndexMap_IsUsable(&map));
+    shards[2].key_to = UINT64_MAX;
+    shards[1].key_to = UINT64_MAX;
+    assert_false(HrIndexMap_IsUsable(&map));
+    map.shard_count = 0;
+    assert_false(HrIndexMap_IsUsable(&map));
+}
+
+/* Guards against a search that misses the shard of a key, and against a range
+ * that ends at the largest hash. */
+static void
+test_find_shard_matches_linear_search(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    HrShard shards[RANGES];
+    HrIndexMap map = {"pool", 1, shards, RANGES};
+    uint32_t i, j;
+
+    (void)state;
+    for (i = 0; i < RANGES; i++) {
+        shards[i] = make_shard("s", "g", i);
+    }
+    assert_true(HrIndexMap_IsUsable(&map));
+    for (i = 0; i < 2000; i++) {
+        char key[32];
+        uint64_t hash;
+
+        snprintf(key, sizeof(key), "key-%llu",
+                 (unsigned long long)HrRng_Next(&rng));
+        hash = HrIndexMap_HashKey(key);
+        for (j = 0; hash > shards[j].key_to; j++) {
+            continue;
+        }
+        assert_ptr_equal(HrIndexMap_FindShard(&map, key), &shards[j]);
+    }
+}
+
+/* One random report of up to MAX_GROUPS groups. */
+typedef struct Report {
+    HrShard shards[MAX_GROUPS][MAX_VERSIONS][RANGES];
+    HrGroupVersion versions[MAX_GROUPS][MAX_VERSIONS];
+    const HrGroupVersion *groups[MAX_GROUPS];
+    uint32_t counts[MAX_GROUPS];
+    uint32_t group_count;
+} Report;
+
+/* Fills a random report: each group holds some ranges of some versions. */
+static void
+fill_report(Report *report, HrRng *rng)
+{
+    static const char *const names[] = {"s0", "s1", "s2", "s3", "s0"};
+    static const char *const groups[] = {"g0", "g1", "g2", "g3"};
+    uint32_t g, v, r;
+
+    report->group_count = (uint32_t)HrRng_Below(rng, MAX_GROUPS + 1);
+    for (g = 0; g < report->group_count; g++) {
+        report->groups[g] = report->versions[g];
+        report->counts[g] = MAX_VERSIONS;
+        for (v = 0; v < MAX_VERSIONS; v++) {
+            HrGroupVersion *held = &report->versions[g][v];
+
+            held->version = v + 1;
+            held->shards = report->shards[g][v];
+            held->shard_count = 0;
+            held->live_servers =
+                HrRng_Chance(rng, 0.8) ? 1 + (uint32_t)HrRng_Below(rng, 3) : 0;
+            for (r = 0; r < RANGES; r++) {
+                /* A wrong name now and then repeats that of another range. */
+                uint32_t name = HrRng_Chance(rng, 0.02) ? RANGES : r;
+
+                if (r % report->group_count == g || HrRng_Chance(rng, 0.1)) {
+                    held->shards[held->shard_count++] =
+                        make_shard(names[name], groups[g], r);
+                }
+            }
+        }
+    }
+}
+
+/* Says for one version, range by range, whether the reports name exactly one
+ * shard for each range and no name twice, and whether each has a live
+ * server. */
+static bool
+naive_usable(const Report *report, uint64_t version, bool *live)
+{
+    const char *names[RANGES] = {NULL};
+    uint32_t best[RANGES] = {0}, g, i, j;
+
+    *live = true;
+    for (g = 0; g < report->group_count; g++) {
+        const HrGroupVersion *held = &report->versions[g][version - 1];
+
+        for (i = 0; i < held->shard_count; i++) {
+            uint32_t r = (uint32_t)(held->shards[i].key_from / RANGE_STEP);
+
+            if (names[r] != NULL &&
+                strcmp(names[r], held->shards[i].name) != 0) {
+                return false;
+            }
+            names[r] = held->shards[i].name;
+            best[r] =
+                best[r] > held->live_servers ? best[r] : held->live_servers;
+        }
+    }
+    for (i = 0; i < RANGES; i++) {
+        if (names[i] == NULL) {
+            return false;
+        }
+        *live = *live && best[i] > 0;
+        for (j = 0; j < i; j++) {
+            if (strcmp(names[i], names[j]) == 0) {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+/* Checks one merge against the reference. */
+static void
+check_merge(const Report *report, uint32_t *usable_count)
+{
+    HrIndexMapSet *set = HrIndexMapSet_Merge(
+        NULL, "pool", report->groups, report->counts, report->group_count, 9);
+    bool usable[MAX_VERSIONS], live[MAX_VERSIONS], any_live = false;
+    uint32_t v, next = 0;
+
+    assert_non_null(set);
+    assert_int_equal(set->revision, 9);
+    for (v = 0; v < MAX_VERSIONS; v++) {
+        usable[v] = naive_usable(report, v + 1, &live[v]);
+        any_live = any_live || (usable[v] && live[v]);
+    }
+    for (v = MAX_VERSIONS; v-- > 0;) {
+        if (!usable[v] || (any_live && !live[v])) {
+            continue;
+        }
+        assert_true(next < set->map_count);
+        assert_int_equal(set->maps[next]->version, v + 1);
+        assert_int_equal(set->maps[next]->shard_count, RANGES);
+        assert_true(HrIndexMap_IsUsable(set->maps[next]));
+        next++;
+    }
+    assert_int_equal(next, set->map_count);
+    *usable_count += set->map_count;
+    talloc_free(set);
+}
+
+/* Guards against a merge that offers a version which does not cover every
+ * hash exactly once, hides one that does, or gives them out of order. */
+static void
+test_merge_matches_naive(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    static Report report;
+    uint32_t i, usable = 0;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (i = 0; i < MERGES; i++) {
+        fill_report(&report, &rng);
+        check_merge(&report, &usable);
+    }
+    assert_in_range(usable, MERGES / 2, MERGES * MAX_VERSIONS);
+}
+
+/* Guards against the loss of one group that makes the whole pool unusable,
+ * and against a shard that is sent to the group without live servers. */
+static void
+test_merge_prefers_live_servers(void **state)
+{
+    HrShard low[] = {{"a", "g0", 0, 9}},
+            high[] = {{"b", "g1", 10, UINT64_MAX}};
+    HrShard moved[] = {{"b", "g2", 10, UINT64_MAX}};
+    HrGroupVersion first[] = {{7, low, 1, 3}}, second[] = {{7, high, 1, 0}};
+    HrGroupVersion third[] = {{7, moved, 1, 2}};
+    const HrGroupVersion *groups[] = {first, second, third};
+    const uint32_t counts[] = {1, 1, 1};
+    HrIndexMapSet *set = HrIndexMapSet_Merge(NULL, "p", groups, counts, 2, 1);
+
+    (void)state;
+    assert_int_equal(set->map_count, 1);
+    assert_string_equal(set->maps[0]->shards[1].group, "g1");
+    talloc_free(set);
+    set = HrIndexMapSet_Merge(NULL, "p", groups, counts, 3, 1);
+    assert_int_equal(set->map_count, 1);
+    assert_string_equal(set->maps[0]->shards[1].group, "g2");
+    talloc_free(set);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_usable_only_when_covered_once),
+        cmocka_unit_test(test_find_shard_matches_linear_search),
+        cmocka_unit_test(test_merge_matches_naive),
+        cmocka_unit_test(test_merge_prefers_live_servers),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
