--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -23,3 +23,9 @@
 HR_COUNTER(peer_wrong_cluster, links, "peer links from another cluster")
 HR_COUNTER(peer_failed_proof, links, "peer links with a failed proof")
 HR_COUNTER(peer_queue_full, frames, "peer frames refused by a full queue")
+HR_COUNTER(gather_restarts, queries,
+           "queries restarted because their index version was lost")
+HR_COUNTER(gather_failovers, requests,
+           "sub-requests sent to a further scheduling daemon")
+HR_COUNTER(gather_bad_answers, answers,
+           "sub-answers of a wrong shard or version, or without payload")
