--- /dev/null
+++ b/src/coord-sched.h
@@ -0,0 +1,253 @@
+#ifndef HR_COORD_SCHED_H
+#define HR_COORD_SCHED_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base-counter.h"
+#include "base-rng.h"
+#include "coord-types.h"
+#include "state-tables.h"
+
+/* The scheduling daemon of one shard group: it queues sub-requests, chooses
+ * replicas, hedges, retries, and gives exactly one sub-answer to each
+ * sub-request that it was handed.
+ *
+ * Memory: an event, with all that it points to, must stay valid until the
+ * actions that it caused are popped. What an action points to stays valid
+ * until the next HrSched_Handle. The caller pops every action before it
+ * handles the next event.
+ *
+ * Attempts: each HR_SCHED_SEND_ATTEMPT is ended by exactly one
+ * HR_SCHED_BACKEND_ANSWER or HR_SCHED_ATTEMPT_FAILED, also after
+ * HR_SCHED_CANCEL_ATTEMPT, which has one HR_SCHED_CANCEL_RESULT besides.
+ *
+ * Connections: one attempt occupies one connection. One connection of the
+ * daemon's share is left to the daemon for cancels and status polls. */
+typedef struct HrSched HrSched;
+
+/* Settings that do not change while the group exists. */
+typedef struct HrSchedConfig {
+    const char *pool;
+    const char *group;
+    uint32_t candidates;  /* HR_OWNER_CANDIDATES: divides connection caps */
+    HrCounters *counters; /* may be NULL */
+} HrSchedConfig;
+
+typedef enum HrSchedEventKind {
+    HR_SCHED_SUB_REQUEST,
+    HR_SCHED_CANCEL,
+    HR_SCHED_BACKEND_ANSWER,
+    HR_SCHED_ATTEMPT_FAILED,
+    HR_SCHED_CANCEL_RESULT,
+    HR_SCHED_STATUS_REPORT,
+    HR_SCHED_SERVER_SET,
+    HR_SCHED_ROLE,
+    HR_SCHED_TIMER,
+} HrSchedEventKind;
+
+/* What a server said about one attempt. */
+typedef enum HrBackendOutcome {
+    HR_BACKEND_ANSWERED,
+    HR_BACKEND_DECLINED,   /* not started */
+    HR_BACKEND_NO_VERSION, /* not started: it does not hold the version */
+    HR_BACKEND_SHED,       /* not started: overloaded */
+} HrBackendOutcome;
+
+/* Load as a server counts it, from all daemons. */
+typedef struct HrServerLoad {
+    uint32_t running;
+    uint32_t queued;
+} HrServerLoad;
+
+/* A well-formed answer of a server, with the ids as the server echoed them. */
+typedef struct HrSchedBackendAnswer {
+    uint64_t attempt_id;
+    HrQueryId query;
+    uint64_t version;
+    const char *shard;
+    HrBackendOutcome outcome;
+    HrBytes payload;
+    bool draining; /* the server takes no new work */
+    uint64_t start_id;
+    HrServerLoad load;
+} HrSchedBackendAnswer;
+
+/* How an attempt ended without a well-formed answer. */
+typedef enum HrAttemptFailure {
+    HR_ATTEMPT_NOT_SENT,     /* no byte of the request left this VM */
+    HR_ATTEMPT_REFUSED,      /* connection closed right after accept, before
+                                the request was sent: the server's cap */
+    HR_ATTEMPT_LOST,         /* sent in part or whole, then the connection
+                                failed or the attempt deadline passed */
+    HR_ATTEMPT_BAD_ANSWER,   /* sent; malformed or mismatched answer */
+    HR_ATTEMPT_SERVER_ERROR, /* sent; a status code that says nothing about
+                                whether the request ran */
+} HrAttemptFailure;
+
+typedef struct HrSchedAttemptFailed {
+    uint64_t attempt_id;
+    HrAttemptFailure failure;
+} HrSchedAttemptFailed;
+
+/* The result of a cancel. */
+typedef struct HrSchedCancelResult {
+    uint64_t attempt_id;
+    bool confirmed; /* the server does not run the attempt any more */
+} HrSchedCancelResult;
+
+typedef enum HrServerState {
+    HR_SERVER_READY,
+    HR_SERVER_COLD,
+    HR_SERVER_DRAINING,
+} HrServerState;
+
+/* A server's answer to a status poll, or the failure of the poll. */
+typedef struct HrSchedStatusReport {
+    const char *server;   /* name */
+    bool failed;          /* the poll got no valid answer; the rest is unset */
+    int64_t requested_ns; /* when the poll was sent; orders the reports */
+    uint64_t start_id;
+    HrServerState state;
+    HrServerLoad load;
+    uint32_t slots;
+    uint32_t connections;
+    const uint64_t *versions;
+    uint32_t version_count;
+} HrSchedStatusReport;
+
+typedef enum HrSchedRoleKind {
+    HR_SCHED_ROLE_NONE,      /* new and queued sub-requests are declined */
+    HR_SCHED_ROLE_CANDIDATE, /* the former scheduler may still be at work:
+                                at most slot_share attempts per server */
+    HR_SCHED_ROLE_SCHEDULER,
+} HrSchedRoleKind;
+
+typedef struct HrSchedRole {
+    HrSchedRoleKind kind;
+    uint32_t slot_share; /* for HR_SCHED_ROLE_CANDIDATE; 0 means
+                            max(1, floor(slots / candidates)) */
+} HrSchedRole;
+
+/* Withdraws a sub-request; its sub-answer is given at once. */
+typedef struct HrSchedCancel {
+    HrQueryId query;
+    uint32_t sub_id;
+    HrReason reason; /* HR_REASON_CANCELLED or HR_REASON_NOT_NEEDED */
+} HrSchedCancel;
+
+typedef struct HrSchedEvent {
+    HrSchedEventKind kind;
+    int64_t now_ns;
+    union {
+        const HrSubRequest *sub_request;
+        HrSchedCancel cancel;
+        HrSchedBackendAnswer backend_answer;
+        HrSchedAttemptFailed attempt_failed;
+        HrSchedCancelResult cancel_result;
+        HrSchedStatusReport status_report;
+        const HrPool *server_set; /* an older revision is ignored */
+        HrSchedRole role;
+    } u;
+} HrSchedEvent;
+
+typedef enum HrSchedActionKind {
+    HR_SCHED_SEND_ATTEMPT,
+    HR_SCHED_CANCEL_ATTEMPT,
+    HR_SCHED_SUB_ANSWER,
+} HrSchedActionKind;
+
+typedef enum HrAttemptKind {
+    HR_ATTEMPT_FIRST,
+    HR_ATTEMPT_HEDGE,
+    HR_ATTEMPT_RETRY,
+} HrAttemptKind;
+
+typedef struct HrSchedSendAttempt {
+    uint64_t attempt_id; /* unique for all attempts of this HrSched */
+    HrAttemptKind kind;
+    const char *server;
+    const char *address;
+    const HrSubRequest *request;
+    int64_t deadline_ns;   /* of the attempt; the query's, less a margin */
+    bool fresh_connection; /* open a new one; do not use an idle one */
+    bool close_idle;       /* close an idle connection to the server first,
+                              so that the daemon's share is not exceeded */
+} HrSchedSendAttempt;
+
+typedef struct HrSchedCancelAttempt {
+    uint64_t attempt_id;
+    HrQueryId query;
+    const char *server;
+    const char *address;
+    bool close_connection; /* silent: close the attempt's connection, and
+                              report the attempt as lost */
+} HrSchedCancelAttempt;
+
+typedef struct HrSchedAction {
+    HrSchedActionKind kind;
+    union {
+        HrSchedSendAttempt send_attempt;
+        HrSchedCancelAttempt cancel_attempt;
+        HrSubAnswer sub_answer;
+    } u;
+} HrSchedAction;
+
+/* Figures of the group, for the operator listener and for drain. */
+typedef struct HrSchedStats {
+    uint32_t queued;   /* sub-requests that wait for a slot */
+    uint32_t open;     /* sub-requests without a sub-answer */
+    uint32_t attempts; /* attempts that still occupy a slot or connection */
+    uint32_t slots;    /* of the servers that take new work */
+    double budget_tokens;
+    uint64_t first_attempts;
+    uint64_t hedges;
+    uint64_t retries;
+    uint64_t sheds; /* SHED answers and refused connections */
+    int64_t p50_ns;
+    int64_t p95_ns;
+    int64_t p99_ns;
+} HrSchedStats;
+
+/* One server as the group sees it, for the operator listener. */
+typedef struct HrSchedServerView {
+    const char *name;
+    const char *address;
+    bool leaving;
+    bool ejected;
+    bool backing_off;
+    uint32_t outstanding; /* attempts that occupy a slot */
+    uint32_t slot_limit;  /* at the moment, with slow start */
+    uint32_t connections; /* open, busy or idle */
+    uint32_t connection_limit;
+    int64_t p50_ns;
+    int64_t p99_ns;
+    int64_t report_age_ns; /* HR_TIME_NEVER: no report yet */
+} HrSchedServerView;
+
+/* Creates the scheduler of one group, with role HR_SCHED_ROLE_NONE and no
+ * servers. Returns NULL when memory runs out. */
+HrSched *HrSched_Create(const void *parent, const HrSchedConfig *config,
+                        HrRng *rng);
+
+/* Handles one event. Returns 0, or HR_ERR_NO_MEMORY; a sub-request that
+ * cannot be held is then answered as declined. */
+int HrSched_Handle(HrSched *sched, const HrSchedEvent *event);
+
+/* Pops the next action; returns false when there is none. */
+bool HrSched_Next(HrSched *sched, HrSchedAction *action);
+
+/* Returns when a timer event is next needed; HR_TIME_NEVER: not at all. */
+int64_t HrSched_NextTimer(const HrSched *sched);
+
+/* Fills the figures of the group. */
+void HrSched_GetStats(const HrSched *sched, HrSchedStats *stats);
+
+/* Returns the number of servers of the group. */
+uint32_t HrSched_ServerCount(const HrSched *sched);
+
+/* Fills the view of one server; valid until the next event. */
+void HrSched_GetServer(const HrSched *sched, uint32_t index, int64_t now_ns,
+                       HrSchedServerView *view);
+
+#endif
