--- /dev/null
+++ b/src/coord-timers.h
@@ -0,0 +1,42 @@
+#ifndef HR_COORD_TIMERS_H
+#define HR_COORD_TIMERS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <bsd/sys/tree.h>
+
+#include "base-clock.h"
+
+/* One pending time of an object; embedded in it. A zeroed timer is not set. */
+typedef struct HrTimer {
+    RB_ENTRY(HrTimer) link;
+    int64_t time_ns;
+    uint64_t sequence; /* orders timers of the same time */
+    int kind;          /* of the owner; chosen by the user of the set */
+    void *owner;
+    bool is_set;
+} HrTimer;
+
+/* Timers ordered by time, then by the order in which they were set. */
+typedef struct HrTimerSet {
+    RB_HEAD(HrTimerTree, HrTimer) tree;
+    uint64_t next_sequence;
+} HrTimerSet;
+
+/* Empties the set. */
+void HrTimerSet_Init(HrTimerSet *set);
+
+/* Sets, moves or (with HR_TIME_NEVER) clears a timer. */
+void HrTimerSet_Set(HrTimerSet *set, HrTimer *timer, int64_t time_ns);
+
+/* Clears a timer, which may be clear already. */
+void HrTimerSet_Clear(HrTimerSet *set, HrTimer *timer);
+
+/* Clears and returns the first timer that is due, or NULL. */
+HrTimer *HrTimerSet_PopDue(HrTimerSet *set, int64_t now_ns);
+
+/* Returns the time of the first timer, or HR_TIME_NEVER. */
+int64_t HrTimerSet_Next(const HrTimerSet *set);
+
+#endif
