--- /dev/null
+++ b/src/coord-latency.c
@@ -0,0 +1,71 @@
+#include "coord-latency.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "base-clock.h"
+
+#define REFRESH_SAMPLES 32
+#define MEAN_WEIGHT (1.0 / 32)
+
+/* Without samples, half of what is known about a server is forgotten in this
+ * time: long against one request, short against a client's patience. */
+#define MEAN_HALF_LIFE_NS (1 * HR_NS_PER_S)
+
+/* Empties the digest. */
+void
+HrLatency_Reset(HrLatency *latency)
+{
+    memset(latency, 0, sizeof(*latency));
+}
+
+/* Computes the kept quantiles. */
+static void
+refresh_quantiles(HrLatency *latency)
+{
+    latency->p50_ns = HrHist_Quantile(&latency->hist, 0.5);
+    latency->p99_ns = HrHist_Quantile(&latency->hist, 0.99);
+    latency->since_refresh = 0;
+}
+
+/* Counts one latency that was observed at now_ns. */
+void
+HrLatency_Record(HrLatency *latency, int64_t value_ns, int64_t now_ns)
+{
+    HrHist_Record(&latency->hist, value_ns);
+    if (latency->hist.count == 1) {
+        latency->mean_ns = (double)value_ns;
+    }
+    latency->mean_ns += MEAN_WEIGHT * ((double)value_ns - latency->mean_ns);
+    latency->last_sample_ns = now_ns;
+    if (++latency->since_decay >= HR_LATENCY_WINDOW) {
+        HrHist_Decay(&latency->hist);
+        latency->since_decay = 0;
+    }
+    if (++latency->since_refresh >= REFRESH_SAMPLES ||
+        latency->hist.count < REFRESH_SAMPLES) {
+        refresh_quantiles(latency);
+    }
+}
+
+/* Returns a quantile of the recent latencies; 0 when there is none. */
+int64_t
+HrLatency_Quantile(const HrLatency *latency, double q)
+{
+    return HrHist_Quantile(&latency->hist, q);
+}
+
+/* Returns the mean that is assumed now. */
+double
+HrLatency_AgedMean(const HrLatency *latency, double peer_mean_ns,
+                   int64_t now_ns)
+{
+    double weight;
+
+    if (latency->hist.count == 0) {
+        return peer_mean_ns;
+    }
+    weight = exp2(-(double)(now_ns - latency->last_sample_ns) /
+                  (double)MEAN_HALF_LIFE_NS);
+    return peer_mean_ns + (latency->mean_ns - peer_mean_ns) * weight;
+}
