--- a/src/coord-eject.c
+++ b/src/coord-eject.c
@@ -6,6 +6,7 @@
 
 #define BACKOFF_BASE_NS (5 * HR_NS_PER_MS)
 #define BACKOFF_MAX_STEPS 7 /* 640 ms */
+#define BACKOFF_FAILURES 2
 #define EJECT_BASE_NS (1 * HR_NS_PER_S)
 #define EJECT_MAX_STEPS 5 /* 32 s */
 
@@ -200,7 +201,8 @@
     }
 }
 
-/* Puts off new work after load shedding: longer each time in a row. */
+/* Puts off new work after load shedding or repeated failures: longer each
+ * time in a row. */
 static void
 back_off(HrEject *eject, HrEjectServer *server, int64_t now_ns)
 {
@@ -267,6 +269,9 @@
         server->backoff_steps = 0;
     }
     count_sample(eject, server, sample == HR_EJECT_FAILURE);
+    if (server->failures_in_row >= BACKOFF_FAILURES) {
+        back_off(eject, server, now_ns);
+    }
     if (server->ejected || !has_room(eject)) {
         return;
     }
--- a/src/coord-timers.c
+++ b/src/coord-timers.c
@@ -13,7 +13,9 @@
            (left->sequence < right->sequence);
 }
 
-RB_GENERATE_STATIC(HrTimerTree, HrTimer, link, compare_timers)
+/* RB_GENERATE_STATIC of libbsd relies on a macro that glibc lacks. */
+RB_GENERATE_INTERNAL(HrTimerTree, HrTimer, link, compare_timers,
+                     static __attribute__((unused)))
 
 /* Empties the set. */
 void
