--- /dev/null
+++ b/src/coord-admit.c
@@ -0,0 +1,410 @@
+#include "coord-admit.h"
+
+#include <talloc.h>
+
+#include "base-clock.h"
+#include "base-error.h"
+#include "coord-admit-queue.h"
+#include "coord-timers.h"
+
+/* Starts over which the share of each class is measured. */
+#define SHARE_WEIGHT (1.0 / 128)
+#define SERVICE_WEIGHT (1.0 / 64)
+
+/* Caller name of entries that carry none. */
+#define NO_CALLER ""
+
+RB_HEAD(HrAdmitEntryTree, HrAdmitEntry);
+
+struct HrAdmit {
+    HrAdmitConfig config;
+    HrAdmitQueue queue;
+    struct HrAdmitEntryTree entries; /* waiting, running, or with an action */
+    struct HrAdmitEntryList actions;
+    HrTimerSet timers;
+    uint32_t running;
+    double mean_service_ns;
+    double start_share[HR_ADMIT_CLASSES]; /* of recent starts; sums to 1 */
+    uint64_t started[HR_ADMIT_CLASSES];
+    uint64_t refused[HR_ADMIT_CLASSES];
+};
+
+/* Orders entries by id. */
+static int
+compare_entries(const HrAdmitEntry *left, const HrAdmitEntry *right)
+{
+    return (left->id > right->id) - (left->id < right->id);
+}
+
+HR_RB_GENERATE_STATIC(HrAdmitEntryTree, HrAdmitEntry, by_id, compare_entries)
+
+/* Creates an empty admission queue; NULL when memory runs out. */
+HrAdmit *
+HrAdmit_Create(const void *parent, const HrAdmitConfig *config)
+{
+    HrAdmit *admit = talloc_zero(parent, HrAdmit);
+
+    if (admit == NULL) {
+        return NULL;
+    }
+    admit->config = *config;
+    admit->mean_service_ns = (double)config->expected_service_ns;
+    HrAdmitQueue_Init(&admit->queue);
+    RB_INIT(&admit->entries);
+    TAILQ_INIT(&admit->actions);
+    HrTimerSet_Init(&admit->timers);
+    return admit;
+}
+
+/* Returns the entry with an id, or NULL. */
+static HrAdmitEntry *
+find_entry(HrAdmit *admit, uint64_t id)
+{
+    HrAdmitEntry key;
+
+    key.id = id;
+    return RB_FIND(HrAdmitEntryTree, &admit->entries, &key);
+}
+
+/* Forgets an entry that is not in the queue. */
+static void
+free_entry(HrAdmit *admit, HrAdmitEntry *entry)
+{
+    if (entry->has_action) {
+        TAILQ_REMOVE(&admit->actions, entry, in_actions);
+    }
+    HrTimerSet_Clear(&admit->timers, &entry->timer);
+    RB_REMOVE(HrAdmitEntryTree, &admit->entries, entry);
+    talloc_free(entry);
+}
+
+/* Appends the action that tells the new state of an entry. */
+static void
+append_action(HrAdmit *admit, HrAdmitEntry *entry)
+{
+    entry->has_action = true;
+    TAILQ_INSERT_TAIL(&admit->actions, entry, in_actions);
+}
+
+/* Refuses an entry that is not in the queue. */
+static void
+refuse_entry(HrAdmit *admit, HrAdmitEntry *entry, HrReason reason)
+{
+    HrTimerSet_Clear(&admit->timers, &entry->timer);
+    entry->state = HR_ADMIT_ENTRY_REFUSED;
+    entry->reason = reason;
+    admit->refused[entry->priority]++;
+    append_action(admit, entry);
+}
+
+/* Takes an entry out of the queue and refuses it. */
+static void
+drop_waiting(HrAdmit *admit, HrAdmitEntry *entry, HrReason reason)
+{
+    HrAdmitQueue_Remove(&admit->queue, entry);
+    refuse_entry(admit, entry, reason);
+}
+
+/* Counts a start in the share of its class. */
+static void
+count_start(HrAdmit *admit, uint32_t priority)
+{
+    uint32_t i;
+
+    admit->started[priority]++;
+    for (i = 0; i < HR_ADMIT_CLASSES; i++) {
+        double value = i == priority ? 1 : 0;
+
+        admit->start_share[i] +=
+            SHARE_WEIGHT * (value - admit->start_share[i]);
+    }
+}
+
+/* Starts waiting entries while there are places. Entries that cannot finish
+ * in time are refused instead, so that no place is spent on them. */
+static void
+start_entries(HrAdmit *admit, int64_t now_ns)
+{
+    HrAdmitEntry *entry;
+
+    while (admit->running < admit->config.places) {
+        entry = HrAdmitQueue_First(&admit->queue);
+        if (entry == NULL) {
+            return;
+        }
+        if (now_ns + (int64_t)admit->mean_service_ns > entry->deadline_ns) {
+            drop_waiting(admit, entry, HR_REASON_DEADLINE);
+            continue;
+        }
+        HrAdmitQueue_Serve(&admit->queue, entry);
+        HrTimerSet_Clear(&admit->timers, &entry->timer);
+        entry->state = HR_ADMIT_ENTRY_RUNNING;
+        admit->running++;
+        count_start(admit, entry->priority);
+        append_action(admit, entry);
+    }
+}
+
+/* Returns the share of the starts that is left to a class by the classes
+ * above it; at least what the bound on starvation grants. */
+static double
+class_share(const HrAdmit *admit, uint32_t priority)
+{
+    double share = 1;
+    uint32_t i;
+
+    for (i = 0; i < priority; i++) {
+        share -= admit->start_share[i];
+    }
+    return share < 1.0 / HR_ADMIT_STARVATION_STARTS
+               ? 1.0 / HR_ADMIT_STARVATION_STARTS
+               : share;
+}
+
+/* Estimates how long an arrival would wait for a place. */
+static double
+estimate_wait_ns(HrAdmit *admit, const HrAdmitArrive *arrive,
+                 const char *caller)
+{
+    uint32_t same, ahead;
+    double turn_ns;
+
+    if (admit->config.places == 0 ||
+        (admit->running < admit->config.places && admit->queue.waiting == 0)) {
+        return 0; /* without places nothing is known of the wait */
+    }
+    ahead = HrAdmitQueue_Ahead(&admit->queue, arrive->priority, caller, &same);
+    turn_ns = admit->mean_service_ns / admit->config.places;
+    return turn_ns * (ahead - same) +
+           turn_ns * (same + 1) / class_share(admit, arrive->priority);
+}
+
+/* Returns the most entries of one caller that may wait. */
+static uint64_t
+caller_limit(const HrAdmit *admit, const HrAdmitArrive *arrive)
+{
+    uint64_t percent = arrive->caller_share_percent != 0
+                           ? arrive->caller_share_percent
+                           : admit->config.caller_share_percent;
+    uint64_t limit = admit->config.queue_limit * percent / 100;
+
+    if (percent == 0) {
+        return UINT64_MAX;
+    }
+    return limit == 0 ? 1 : limit;
+}
+
+/* Makes room for an arrival of a class in a full queue at the cost of a lower
+ * class. Returns false if there is none. */
+static bool
+make_room(HrAdmit *admit, uint32_t priority)
+{
+    HrAdmitEntry *lowest;
+
+    if (admit->queue.waiting < admit->config.queue_limit) {
+        return true;
+    }
+    lowest = HrAdmitQueue_Lowest(&admit->queue, priority);
+    if (lowest == NULL) {
+        return false;
+    }
+    drop_waiting(admit, lowest, HR_REASON_OVERLOADED);
+    return true;
+}
+
+/* Returns HR_REASON_NONE if an arrival may wait. */
+static HrReason
+check_arrival(HrAdmit *admit, const HrAdmitArrive *arrive, const char *caller,
+              int64_t now_ns)
+{
+    double finish_ns = (double)now_ns + admit->mean_service_ns;
+
+    if (arrive->deadline_ns <= now_ns) {
+        return HR_REASON_DEADLINE;
+    }
+    finish_ns += estimate_wait_ns(admit, arrive, caller);
+    if (finish_ns > (double)arrive->deadline_ns) {
+        return HR_REASON_OVERLOADED;
+    }
+    if (HrAdmitQueue_CallerWaiting(&admit->queue, caller) >=
+        caller_limit(admit, arrive)) {
+        return HR_REASON_OVERLOADED;
+    }
+    if (admit->running >= admit->config.places &&
+        !make_room(admit, arrive->priority)) {
+        return HR_REASON_OVERLOADED;
+    }
+    return HR_REASON_NONE;
+}
+
+/* Returns the new entry of an arrival, or NULL. */
+static HrAdmitEntry *
+add_entry(HrAdmit *admit, const HrAdmitArrive *arrive)
+{
+    HrAdmitEntry *entry = talloc_zero(admit, HrAdmitEntry);
+
+    if (entry == NULL) {
+        return NULL;
+    }
+    entry->id = arrive->id;
+    entry->priority = arrive->priority;
+    entry->deadline_ns = arrive->deadline_ns;
+    entry->timer.owner = entry;
+    RB_INSERT(HrAdmitEntryTree, &admit->entries, entry);
+    return entry;
+}
+
+/* Handles an arrival. */
+static int
+handle_arrive(HrAdmit *admit, const HrAdmitArrive *event, int64_t now_ns)
+{
+    HrAdmitArrive arrive = *event;
+    const char *caller = arrive.caller == NULL ? NO_CALLER : arrive.caller;
+    HrAdmitEntry *entry;
+    HrReason reason;
+
+    if (arrive.priority >= HR_ADMIT_CLASSES) {
+        arrive.priority = HR_ADMIT_CLASSES - 1;
+    }
+    if (find_entry(admit, arrive.id) != NULL) {
+        return HR_ERR_DUPLICATE;
+    }
+    entry = add_entry(admit, &arrive);
+    if (entry == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    reason = check_arrival(admit, &arrive, caller, now_ns);
+    if (reason != HR_REASON_NONE) {
+        refuse_entry(admit, entry, reason);
+        return HR_OK;
+    }
+    if (HrAdmitQueue_Append(&admit->queue, admit, entry, caller) != HR_OK) {
+        free_entry(admit, entry);
+        return HR_ERR_NO_MEMORY;
+    }
+    HrTimerSet_Set(&admit->timers, &entry->timer, arrive.deadline_ns);
+    return HR_OK;
+}
+
+/* Forgets an entry in any state without an action. */
+static int
+handle_withdraw(HrAdmit *admit, uint64_t id)
+{
+    HrAdmitEntry *entry = find_entry(admit, id);
+
+    if (entry == NULL) {
+        return HR_ERR_NOT_FOUND;
+    }
+    if (entry->state == HR_ADMIT_ENTRY_WAITING) {
+        HrAdmitQueue_Remove(&admit->queue, entry);
+    }
+    else if (entry->state == HR_ADMIT_ENTRY_RUNNING) {
+        admit->running--;
+    }
+    free_entry(admit, entry);
+    return HR_OK;
+}
+
+/* Frees the place of an entry and learns its service time. */
+static int
+handle_finish(HrAdmit *admit, const HrAdmitFinish *finish)
+{
+    HrAdmitEntry *entry = find_entry(admit, finish->id);
+
+    if (entry == NULL || entry->state != HR_ADMIT_ENTRY_RUNNING) {
+        return HR_ERR_NOT_FOUND;
+    }
+    if (finish->service_ns >= 0) {
+        admit->mean_service_ns +=
+            SERVICE_WEIGHT *
+            ((double)finish->service_ns - admit->mean_service_ns);
+    }
+    admit->running--;
+    free_entry(admit, entry);
+    return HR_OK;
+}
+
+/* Refuses the waiting entries whose deadline has passed. */
+static void
+expire_entries(HrAdmit *admit, int64_t now_ns)
+{
+    HrTimer *timer;
+
+    while ((timer = HrTimerSet_PopDue(&admit->timers, now_ns)) != NULL) {
+        drop_waiting(admit, timer->owner, HR_REASON_DEADLINE);
+    }
+}
+
+/* Handles one event. */
+int
+HrAdmit_Handle(HrAdmit *admit, const HrAdmitEvent *event)
+{
+    int rc = HR_OK;
+
+    expire_entries(admit, event->now_ns);
+    switch (event->kind) {
+    case HR_ADMIT_ARRIVE:
+        rc = handle_arrive(admit, &event->u.arrive, event->now_ns);
+        break;
+    case HR_ADMIT_WITHDRAW:
+        rc = handle_withdraw(admit, event->u.withdraw_id);
+        break;
+    case HR_ADMIT_FINISH:
+        rc = handle_finish(admit, &event->u.finish);
+        break;
+    case HR_ADMIT_PLACES:
+        admit->config.places = event->u.places.places;
+        admit->config.queue_limit = event->u.places.queue_limit;
+        break;
+    case HR_ADMIT_TIMER:
+        break;
+    }
+    start_entries(admit, event->now_ns);
+    return rc;
+}
+
+/* Pops the next action; returns false when there is none. */
+bool
+HrAdmit_Next(HrAdmit *admit, HrAdmitAction *action)
+{
+    HrAdmitEntry *entry = TAILQ_FIRST(&admit->actions);
+
+    if (entry == NULL) {
+        return false;
+    }
+    TAILQ_REMOVE(&admit->actions, entry, in_actions);
+    entry->has_action = false;
+    action->id = entry->id;
+    if (entry->state == HR_ADMIT_ENTRY_REFUSED) {
+        action->kind = HR_ADMIT_REFUSE;
+        action->reason = entry->reason;
+        free_entry(admit, entry);
+        return true;
+    }
+    action->kind = HR_ADMIT_START;
+    action->reason = HR_REASON_NONE;
+    return true;
+}
+
+/* Returns when a timer event is next needed; HR_TIME_NEVER: not at all. */
+int64_t
+HrAdmit_NextTimer(const HrAdmit *admit)
+{
+    return HrTimerSet_Next(&admit->timers);
+}
+
+/* Fills the figures. */
+void
+HrAdmit_GetStats(const HrAdmit *admit, HrAdmitStats *stats)
+{
+    uint32_t i;
+
+    stats->running = admit->running;
+    stats->waiting = admit->queue.waiting;
+    stats->mean_service_ns = (int64_t)admit->mean_service_ns;
+    for (i = 0; i < HR_ADMIT_CLASSES; i++) {
+        stats->waiting_by_class[i] = admit->queue.classes[i].waiting;
+        stats->started_by_class[i] = admit->started[i];
+        stats->refused_by_class[i] = admit->refused[i];
+    }
+}
--- a/src/coord-admit.h
+++ b/src/coord-admit.h
@@ -15,7 +15,7 @@
  * in time is served at least once in this many starts. All other classes may
  * reach the limit first. */
 #define HR_ADMIT_STARVATION_STARTS                                            \
-    (HR_ADMIT_PASSED_OVER_LIMIT + HR_ADMIT_CLASSES - 1)
+    (HR_ADMIT_PASSED_OVER_LIMIT + HR_ADMIT_CLASSES)
 
 /* Admission to a bounded number of places: queues by class, with a fair share
  * per caller. Every HR_ADMIT_ARRIVE is answered by exactly one HR_ADMIT_START
@@ -27,7 +27,7 @@
     uint32_t places;               /* entries that may run at once */
     uint32_t queue_limit;          /* waiting entries, over all classes */
     uint32_t caller_share_percent; /* most of the queue that one caller may
-                                      take while others wait; 0: no limit */
+                                      takes; 0: no limit */
     int64_t expected_service_ns;   /* until service times are known */
 } HrAdmitConfig;
 
@@ -96,8 +96,8 @@
 HrAdmit *HrAdmit_Create(const void *parent, const HrAdmitConfig *config);
 
 /* Handles one event. Returns 0; HR_ERR_NO_MEMORY when an arrival could not be
- * held (it is refused by an action); HR_ERR_NOT_FOUND for an unknown id;
- * HR_ERR_DUPLICATE for an arrival with a known id (no action follows). */
+ * held, HR_ERR_DUPLICATE for an arrival with a known id (no action follows
+ * either of them); HR_ERR_NOT_FOUND for an unknown id. */
 int HrAdmit_Handle(HrAdmit *admit, const HrAdmitEvent *event);
 
 /* Pops the next action; returns false when there is none. */
--- a/src/coord-timers.c
+++ b/src/coord-timers.c
@@ -13,9 +13,7 @@
            (left->sequence < right->sequence);
 }
 
-/* RB_GENERATE_STATIC of libbsd relies on a macro that glibc lacks. */
-RB_GENERATE_INTERNAL(HrTimerTree, HrTimer, link, compare_timers,
-                     static __attribute__((unused)))
+HR_RB_GENERATE_STATIC(HrTimerTree, HrTimer, link, compare_timers)
 
 /* Empties the set. */
 void
--- a/src/coord-timers.h
+++ b/src/coord-timers.h
@@ -4,9 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include <bsd/sys/tree.h>
-
 #include "base-clock.h"
+#include "coord-tree.h"
 
 /* One pending time of an object; embedded in it. A zeroed timer is not set. */
 typedef struct HrTimer {
