--- a/src/state-tables.h
+++ b/src/state-tables.h
@@ -65,14 +65,45 @@
     uint64_t revision;
 } HrPool;
 
-/* Both tables at one revision. Immutable once published. */
+typedef enum HrTableKind {
+    HR_TABLE_ROUTES,
+    HR_TABLE_POOLS,
+} HrTableKind;
+
+/* A deleted row. It is kept for HR_TOMBSTONE_KEEP_MS, so that a delta tells
+ * a daemon that was away to drop the row. */
+typedef struct HrTombstone {
+    HrTableKind table;
+    const char *name;
+    uint64_t revision;  /* revision that deleted the row */
+    int64_t deleted_ms; /* wall time since 1970 */
+} HrTombstone;
+
+/* One accepted edit. */
+typedef struct HrEditRecord {
+    const char *edit_id;
+    uint64_t revision; /* revision that the edit made */
+    const char *operator_name;
+    int64_t time_ms; /* wall time since 1970 */
+    const char *summary;
+} HrEditRecord;
+
+#define HR_TOMBSTONE_KEEP_MS (INT64_C(7) * 24 * 3600 * 1000)
+#define HR_EDIT_HISTORY 64
+
+/* Both tables at one revision. Immutable once published. Routes and pools are
+ * sorted by name, tombstones by table and name, edits by revision. */
 typedef struct HrTables {
     uint64_t revision; /* 0: no tables yet */
-    uint64_t digest;
+    uint64_t digest;   /* of the revision and all rows */
     HrRoute *routes;
     uint32_t route_count;
     HrPool *pools;
     uint32_t pool_count;
+    HrTombstone *tombstones;
+    uint32_t tombstone_count;
+    HrEditRecord *edits; /* the newest HR_EDIT_HISTORY, oldest first */
+    uint32_t edit_count;
 } HrTables;
 
 /* Returns the route of a request kind (an exact kind wins over prefixes, a
