--- /dev/null
+++ b/src/state-tables.c
@@ -0,0 +1,222 @@
+#include "state-tables.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base-rng.h"
+#include "state-tables-build.h"
+#include "state-tables-fields.h"
+
+/* Orders two routes by name. */
+static int
+compare_routes(const void *left, const void *right)
+{
+    return strcmp(((const HrRoute *)left)->name,
+                  ((const HrRoute *)right)->name);
+}
+
+/* Orders two pools by name. */
+static int
+compare_pools(const void *left, const void *right)
+{
+    return strcmp(((const HrPool *)left)->name, ((const HrPool *)right)->name);
+}
+
+/* Orders two tombstones by table and name. */
+static int
+compare_tombstones(const void *left, const void *right)
+{
+    const HrTombstone *a = left, *b = right;
+
+    if (a->table != b->table) {
+        return a->table < b->table ? -1 : 1;
+    }
+    return strcmp(a->name, b->name);
+}
+
+/* Orders two edits by revision. */
+static int
+compare_edits(const void *left, const void *right)
+{
+    uint64_t a = ((const HrEditRecord *)left)->revision;
+    uint64_t b = ((const HrEditRecord *)right)->revision;
+
+    return (a > b) - (a < b);
+}
+
+/* Sorts an array that may be empty, which qsort takes no NULL for. */
+static void
+sort_rows(void *rows, uint32_t count, size_t size,
+          int (*compare)(const void *, const void *))
+{
+    if (count > 1) {
+        qsort(rows, count, size, compare);
+    }
+}
+
+/* Returns the hash of a pool with its servers. */
+static uint64_t
+hash_pool(const HrPool *pool, uint64_t seed)
+{
+    uint32_t i;
+
+    seed = HrFieldList_Hash(&hr_pool_fields, pool, seed);
+    seed = HrHash_Bytes(&pool->server_count, sizeof(uint32_t), seed);
+    for (i = 0; i < pool->server_count; i++) {
+        seed = HrFieldList_Hash(&hr_server_fields, &pool->servers[i], seed);
+    }
+    return seed;
+}
+
+/* Returns the digest of the revision and all rows. */
+static uint64_t
+compute_digest(const HrTables *tables)
+{
+    uint64_t digest = tables->revision;
+    uint32_t i;
+
+    digest = HrHash_Bytes(&tables->route_count, sizeof(uint32_t), digest);
+    for (i = 0; i < tables->route_count; i++) {
+        digest =
+            HrFieldList_Hash(&hr_route_fields, &tables->routes[i], digest);
+    }
+    for (i = 0; i < tables->pool_count; i++) {
+        digest = hash_pool(&tables->pools[i], digest);
+    }
+    return digest;
+}
+
+/* Sorts all rows and fills the digest. Every function that builds tables ends
+ * with it. */
+void
+HrTables_Seal(HrTables *tables)
+{
+    sort_rows(tables->routes, tables->route_count, sizeof(HrRoute),
+              compare_routes);
+    sort_rows(tables->pools, tables->pool_count, sizeof(HrPool),
+              compare_pools);
+    sort_rows(tables->tombstones, tables->tombstone_count, sizeof(HrTombstone),
+              compare_tombstones);
+    sort_rows(tables->edits, tables->edit_count, sizeof(HrEditRecord),
+              compare_edits);
+    tables->digest = compute_digest(tables);
+}
+
+/* Returns how well a route's kind matches: the matching bytes + 1, an exact
+ * kind more than any prefix, 0 for no match. */
+static size_t
+match_kind(const char *pattern, const char *kind)
+{
+    size_t length = strlen(pattern);
+
+    if (length > 0 && pattern[length - 1] == '*') {
+        return strncmp(pattern, kind, length - 1) == 0 ? length : 0;
+    }
+    return strcmp(pattern, kind) == 0 ? SIZE_MAX : 0;
+}
+
+/* Returns the route of a request kind (an exact kind wins over prefixes, a
+ * longer prefix over a shorter one), or NULL. */
+const HrRoute *
+HrTables_FindRoute(const HrTables *tables, const char *kind)
+{
+    const HrRoute *best = NULL;
+    size_t best_match = 0;
+    uint32_t i;
+
+    for (i = 0; i < tables->route_count; i++) {
+        size_t match = match_kind(tables->routes[i].kind, kind);
+
+        if (match > best_match) {
+            best_match = match;
+            best = &tables->routes[i];
+        }
+    }
+    return best;
+}
+
+/* Returns the pool with a name, or NULL. */
+const HrPool *
+HrTables_FindPool(const HrTables *tables, const char *name)
+{
+    HrPool wanted = {.name = name};
+
+    if (tables->pool_count == 0) {
+        return NULL;
+    }
+    return bsearch(&wanted, tables->pools, tables->pool_count, sizeof(HrPool),
+                   compare_pools);
+}
+
+/* Returns the route with a name, or NULL. */
+const HrRoute *
+HrTables_FindRouteByName(const HrTables *tables, const char *name)
+{
+    HrRoute wanted = {.name = name};
+
+    if (tables->route_count == 0) {
+        return NULL;
+    }
+    return bsearch(&wanted, tables->routes, tables->route_count,
+                   sizeof(HrRoute), compare_routes);
+}
+
+/* Returns the edit with an id, or NULL when it is not among the last
+ * HR_EDIT_HISTORY edits. */
+const HrEditRecord *
+HrTables_FindEdit(const HrTables *tables, const char *edit_id)
+{
+    uint32_t i;
+
+    for (i = 0; i < tables->edit_count; i++) {
+        if (strcmp(tables->edits[i].edit_id, edit_id) == 0) {
+            return &tables->edits[i];
+        }
+    }
+    return NULL;
+}
+
+/* Returns a deep copy, or NULL when memory runs out. */
+HrTables *
+HrTables_Copy(const void *parent, const HrTables *tables)
+{
+    HrTablesBuilder builder = HrTablesBuilder_Start(
+        parent, tables->route_count, tables->pool_count,
+        tables->tombstone_count, tables->edit_count);
+    uint32_t i;
+
+    for (i = 0; i < tables->route_count; i++) {
+        HrTablesBuilder_AddRoute(&builder, &tables->routes[i],
+                                 tables->routes[i].revision);
+    }
+    for (i = 0; i < tables->pool_count; i++) {
+        HrTablesBuilder_AddPool(&builder, &tables->pools[i],
+                                tables->pools[i].revision);
+    }
+    for (i = 0; i < tables->tombstone_count; i++) {
+        HrTablesBuilder_AddTombstone(&builder, &tables->tombstones[i]);
+    }
+    for (i = 0; i < tables->edit_count; i++) {
+        HrTablesBuilder_AddEdit(&builder, &tables->edits[i]);
+    }
+    return HrTablesBuilder_Finish(&builder, tables->revision);
+}
+
+/* Returns true if two pools differ at most in the revision. */
+bool
+HrPool_Equals(const HrPool *left, const HrPool *right)
+{
+    uint32_t i;
+
+    if (left->server_count != right->server_count ||
+        !HrFieldList_Equals(&hr_pool_fields, left, right)) {
+        return false;
+    }
+    for (i = 0; i < left->server_count; i++) {
+        if (!HrFieldList_Equals(&hr_server_fields, &left->servers[i],
+                                &right->servers[i])) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/src/state-tables.h
+++ b/src/state-tables.h
@@ -113,4 +113,23 @@
 /* Returns the pool with a name, or NULL. */
 const HrPool *HrTables_FindPool(const HrTables *tables, const char *name);
 
+/* Returns the route with a name, or NULL. */
+const HrRoute *HrTables_FindRouteByName(const HrTables *tables,
+                                        const char *name);
+
+/* Returns the edit with an id, or NULL when it is not among the last
+ * HR_EDIT_HISTORY edits. */
+const HrEditRecord *HrTables_FindEdit(const HrTables *tables,
+                                      const char *edit_id);
+
+/* Sorts all rows and fills the digest. Every function that builds tables ends
+ * with it. */
+void HrTables_Seal(HrTables *tables);
+
+/* Returns a deep copy, or NULL when memory runs out. */
+HrTables *HrTables_Copy(const void *parent, const HrTables *tables);
+
+/* Returns true if two pools differ at most in the revision. */
+bool HrPool_Equals(const HrPool *left, const HrPool *right);
+
 #endif
