--- a/src/state-json-reader.c
+++ b/src/state-json-reader.c
@@ -21,9 +21,9 @@
     if (reader->place[0] != '\0') {
         snprintf(place, sizeof(place), "%s: ", reader->place);
     }
-    reader->status = HrError_Set(reader->err, kind,
-                                 "%.60s: %sfield \"%.40s\": %s",
-                                 reader->source, place, field, detail);
+    reader->status =
+        HrError_Set(reader->err, kind, "%.60s: %sfield \"%.40s\": %s",
+                    reader->source, place, field, detail);
     return reader->status;
 }
 
--- a/src/state-tables-check.c
+++ b/src/state-tables-check.c
@@ -179,11 +179,11 @@
     qsort(routes, tables->route_count, sizeof(routes[0]), compare_kinds);
     for (i = 1; i < tables->route_count && rc == HR_OK; i++) {
         if (strcmp(routes[i - 1]->kind, routes[i]->kind) == 0) {
-            rc = HrError_Set(err, HR_ERR_DUPLICATE,
-                             "%.60s: routes \"%s\" and \"%s\": field \"kind\": "
-                             "both have \"%s\"; change or delete one",
-                             source, routes[i - 1]->name, routes[i]->name,
-                             routes[i]->kind);
+            rc = HrError_Set(
+                err, HR_ERR_DUPLICATE,
+                "%.60s: routes \"%s\" and \"%s\": field \"kind\": "
+                "both have \"%s\"; change or delete one",
+                source, routes[i - 1]->name, routes[i]->name, routes[i]->kind);
         }
     }
     talloc_free(routes);
--- a/src/state-tables-edit.h
+++ b/src/state-tables-edit.h
@@ -37,6 +37,16 @@
  * edit every row counts. */
 bool HrTablesEdit_Conflicts(const HrTables *current, const HrTablesEdit *edit);
 
+/* A restore skips this many revisions, so that it is newer than an edit that
+ * the lost store had accepted and that this daemon never heard of. */
+#define HR_RESTORE_REVISION_GAP 1024
+
+/* Returns the tables that restore what is held to the store, at a revision
+ * HR_RESTORE_REVISION_GAP higher, or NULL when memory runs out. */
+HrTables *HrTables_Restored(const void *parent, const HrTables *held,
+                            const char *edit_id, const char *operator_name,
+                            int64_t wall_ms);
+
 /* Returns a copy of the edit as a talloc child of parent, or NULL when memory
  * runs out. */
 HrTablesEdit *HrTablesEdit_Copy(const void *parent, const HrTablesEdit *edit);
--- a/src/state-tables-fields.c
+++ b/src/state-tables-fields.c
@@ -21,18 +21,19 @@
 static const char *const table_names[] = {"routes", "pools", NULL};
 
 #define STRING(row, member, kind, required, bytes)                            \
-    {#member, kind, offsetof(row, member), required, 0, 1, bytes, NULL}
+    {                                                                         \
+#member, kind, offsetof(row, member), required, 0, 1, bytes, NULL     \
+    }
 #define NUMBER(row, member, kind, required, initial, low, high)               \
-    {#member, kind, offsetof(row, member), required, initial, low, high, NULL}
+    {                                                                         \
+#member, kind, offsetof(row, member), required, initial, low, high,   \
+            NULL                                                              \
+    }
 #define CHOICE(row, member, required, initial, names)                         \
-    {#member,                                                                 \
-     HR_FIELD_CHOICE,                                                         \
-     offsetof(row, member),                                                   \
-     required,                                                                \
-     initial,                                                                 \
-     0,                                                                       \
-     (sizeof(names) / sizeof((names)[0])) - 2,                                \
-     names}
+    {                                                                         \
+#member, HR_FIELD_CHOICE, offsetof(row, member), required, initial,   \
+            0, (sizeof(names) / sizeof((names)[0])) - 2, names                \
+    }
 #define REVISION(row)                                                         \
     NUMBER(row, revision, HR_FIELD_U64, false, 0, 0, REVISION_MAX)
 
--- /dev/null
+++ b/src/state-tables-json.c
@@ -0,0 +1,327 @@
+#include "state-tables-json.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "state-json-reader.h"
+#include "state-tables-check.h"
+#include "state-tables-fields.h"
+
+/* An operator's file or reply has servers as objects, which are longer than
+ * in the store. */
+#define TEXT_MAX_BYTES (4 * 1024 * 1024)
+#define TOMBSTONES_MAX 16384
+
+static const char *const tables_keys[] = {
+    "revision", "digest", "routes", "pools", "tombstones", "history", NULL};
+static const char *const pool_keys[] = {"servers", NULL};
+static const char *const edit_keys[] = {
+    "edit_id",   "operator",      "based_on",     "summary", "set_routes",
+    "set_pools", "delete_routes", "delete_pools", "replace", NULL};
+
+/* The fields of an edit that are no rows. */
+static const HrField edit_fields[] = {
+    {"edit_id", HR_FIELD_NAME, offsetof(HrTablesEdit, edit_id), true, 0, 1, 32,
+     NULL},
+    {"operator", HR_FIELD_NAME, offsetof(HrTablesEdit, operator_name), true, 0,
+     1, 32, NULL},
+    {"summary", HR_FIELD_TEXT, offsetof(HrTablesEdit, summary), true, 0, 0, 96,
+     NULL},
+    {"based_on", HR_FIELD_U64, offsetof(HrTablesEdit, based_on), true, 0, 0,
+     9007199254740992.0, NULL},
+    {"replace", HR_FIELD_BOOL, offsetof(HrTablesEdit, replace), false, 0, 0, 1,
+     NULL},
+};
+static const HrFieldList edit_field_list = {
+    "edit", edit_fields, sizeof(edit_fields) / sizeof(edit_fields[0])};
+
+/* Reads one server, an object or an array. */
+static int
+read_server(HrJsonReader *reader, json_t *value, HrServer *server)
+{
+    if (json_is_array(value)) {
+        return HrJsonReader_ReadTuple(reader, value, &hr_server_fields,
+                                      server);
+    }
+    HrJsonReader_CheckKeys(reader, value, NULL, &hr_server_fields);
+    return HrJsonReader_ReadRow(reader, value, &hr_server_fields, server);
+}
+
+/* Reads the servers of a pool; row and index name the pool in messages. */
+static void
+read_servers(HrJsonReader *reader, const void *parent, json_t *object,
+             const char *array, size_t index, HrPool *pool)
+{
+    json_t *servers =
+        HrJsonReader_GetArray(reader, object, "servers", HR_SERVERS_MAX);
+    size_t i;
+
+    if (servers == NULL) {
+        HrJsonReader_Fail(reader, HR_ERR_INVALID, "servers",
+                          "missing; add an array of servers");
+        return;
+    }
+    pool->server_count = (uint32_t)json_array_size(servers);
+    pool->servers = talloc_zero_array(parent, HrServer, pool->server_count);
+    for (i = 0; i < pool->server_count && reader->status == HR_OK; i++) {
+        HrJsonReader_SetPlace(reader, "%s[%zu].servers[%zu]", array, index, i);
+        read_server(reader, json_array_get(servers, i), &pool->servers[i]);
+    }
+}
+
+/* Reads an array of routes into a new array. */
+static void
+read_routes(HrJsonReader *reader, const void *parent, json_t *object,
+            const char *name, HrRoute **routes, uint32_t *count)
+{
+    json_t *array = HrJsonReader_GetArray(reader, object, name, HR_ROUTES_MAX);
+    size_t i;
+
+    *count = (uint32_t)json_array_size(array);
+    *routes = talloc_zero_array(parent, HrRoute, *count);
+    for (i = 0; i < *count && reader->status == HR_OK; i++) {
+        json_t *row = json_array_get(array, i);
+
+        HrJsonReader_SetPlace(reader, "%s[%zu]", name, i);
+        HrJsonReader_CheckKeys(reader, row, NULL, &hr_route_fields);
+        HrJsonReader_ReadRow(reader, row, &hr_route_fields, &(*routes)[i]);
+    }
+    HrJsonReader_SetPlace(reader, "%s", "");
+}
+
+/* Reads an array of pools into a new array. */
+static void
+read_pools(HrJsonReader *reader, const void *parent, json_t *object,
+           const char *name, HrPool **pools, uint32_t *count)
+{
+    json_t *array = HrJsonReader_GetArray(reader, object, name, HR_POOLS_MAX);
+    size_t i;
+
+    *count = (uint32_t)json_array_size(array);
+    *pools = talloc_zero_array(parent, HrPool, *count);
+    for (i = 0; i < *count && reader->status == HR_OK; i++) {
+        json_t *row = json_array_get(array, i);
+
+        HrJsonReader_SetPlace(reader, "%s[%zu]", name, i);
+        HrJsonReader_CheckKeys(reader, row, pool_keys, &hr_pool_fields);
+        HrJsonReader_ReadRow(reader, row, &hr_pool_fields, &(*pools)[i]);
+        if (reader->status == HR_OK) {
+            read_servers(reader, parent, row, name, i, &(*pools)[i]);
+        }
+    }
+    HrJsonReader_SetPlace(reader, "%s", "");
+}
+
+/* Reads an array of rows without nested arrays into a new array. */
+static void *
+read_simple_rows(HrJsonReader *reader, const void *parent, json_t *object,
+                 const char *name, const HrFieldList *list, size_t size,
+                 size_t limit, uint32_t *count)
+{
+    json_t *array = HrJsonReader_GetArray(reader, object, name, limit);
+    char *rows;
+    size_t i;
+
+    *count = (uint32_t)json_array_size(array);
+    rows = talloc_zero_size(parent, *count == 0 ? 1 : *count * size);
+    for (i = 0; i < *count && reader->status == HR_OK; i++) {
+        json_t *row = json_array_get(array, i);
+
+        HrJsonReader_SetPlace(reader, "%s[%zu]", name, i);
+        HrJsonReader_CheckKeys(reader, row, NULL, list);
+        HrJsonReader_ReadRow(reader, row, list, rows + i * size);
+    }
+    HrJsonReader_SetPlace(reader, "%s", "");
+    return rows;
+}
+
+/* Reads the revision and the digest, which go together. Returns true if there
+ * is a digest. */
+static bool
+read_revision(HrJsonReader *reader, json_t *object, HrTables *tables,
+              uint64_t *digest)
+{
+    json_t *revision = json_object_get(object, "revision");
+    const char *text = json_string_value(json_object_get(object, "digest"));
+    char *end;
+
+    if (revision == NULL && json_object_get(object, "digest") == NULL) {
+        return false;
+    }
+    if (!json_is_integer(revision) || json_integer_value(revision) < 1) {
+        HrJsonReader_Fail(reader, HR_ERR_INVALID, "revision",
+                          "missing or not a positive integer; read the "
+                          "tables again");
+        return false;
+    }
+    tables->revision = (uint64_t)json_integer_value(revision);
+    if (text == NULL || strlen(text) != 16 ||
+        strspn(text, "0123456789abcdef") != 16) {
+        HrJsonReader_Fail(reader, HR_ERR_INVALID, "digest",
+                          "missing or not 16 hexadecimal digits; read the "
+                          "tables again");
+        return false;
+    }
+    *digest = strtoull(text, &end, 16);
+    return true;
+}
+
+/* Reads all rows of the tables. */
+static void
+read_rows(HrJsonReader *reader, json_t *object, HrTables *tables)
+{
+    read_routes(reader, tables, object, "routes", &tables->routes,
+                &tables->route_count);
+    read_pools(reader, tables, object, "pools", &tables->pools,
+               &tables->pool_count);
+    tables->tombstones = read_simple_rows(
+        reader, tables, object, "tombstones", &hr_tombstone_fields,
+        sizeof(HrTombstone), TOMBSTONES_MAX, &tables->tombstone_count);
+    tables->edits = read_simple_rows(
+        reader, tables, object, "history", &hr_edit_record_fields,
+        sizeof(HrEditRecord), HR_EDIT_HISTORY, &tables->edit_count);
+}
+
+/* Refuses rows that claim to be newer than the tables. */
+static void
+check_revisions(HrJsonReader *reader, const HrTables *tables)
+{
+    uint64_t newest = 0;
+    uint32_t i;
+
+    for (i = 0; i < tables->route_count; i++) {
+        newest = tables->routes[i].revision > newest
+                     ? tables->routes[i].revision
+                     : newest;
+    }
+    for (i = 0; i < tables->pool_count; i++) {
+        newest = tables->pools[i].revision > newest ? tables->pools[i].revision
+                                                    : newest;
+    }
+    if (newest > tables->revision) {
+        HrJsonReader_Fail(reader, HR_ERR_RANGE, "revision",
+                          "value %" PRIu64 " of a row exceeds that of the "
+                          "tables, %" PRIu64 "; read the tables again",
+                          newest, tables->revision);
+    }
+}
+
+/* Reads the whole of the tables into the given, empty ones. */
+static void
+read_tables(HrJsonReader *reader, json_t *object, HrTables *tables)
+{
+    uint64_t digest = 0;
+    bool has_digest;
+
+    HrJsonReader_CheckKeys(reader, object, tables_keys, NULL);
+    has_digest = read_revision(reader, object, tables, &digest);
+    read_rows(reader, object, tables);
+    if (reader->status != HR_OK) {
+        return;
+    }
+    HrTables_Seal(tables);
+    reader->status = HrTables_Check(tables, reader->source, reader->err);
+    if (!has_digest) {
+        return;
+    }
+    check_revisions(reader, tables);
+    if (tables->digest != digest) {
+        HrJsonReader_Fail(reader, HR_ERR_INVALID, "digest",
+                          "value %016" PRIx64 " does not match the rows; read "
+                          "the tables again",
+                          digest);
+    }
+}
+
+/* Reads tables with revision, digest, routes, pools, history and (optional)
+ * tombstones, checks every field and the digest. source names the file or
+ * sender in the message. Returns NULL and fills err for bad input. */
+HrTables *
+HrTables_FromJson(const void *parent, const char *text, size_t length_bytes,
+                  const char *source, HrError *err)
+{
+    HrJsonReader reader = {.source = source, .err = err};
+    HrTables *tables = talloc_zero(parent, HrTables);
+    json_t *object;
+
+    reader.strings = HrStrings_Create(tables);
+    object = HrJsonReader_Parse(&reader, text, length_bytes, TEXT_MAX_BYTES);
+    if (object != NULL) {
+        read_tables(&reader, object, tables);
+        json_decref(object);
+    }
+    if (reader.status != HR_OK) {
+        talloc_free(tables);
+        return NULL;
+    }
+    return tables;
+}
+
+/* Reads an array of names into a new array. */
+static const char **
+read_names(HrJsonReader *reader, const void *parent, json_t *object,
+           const char *field, size_t limit, uint32_t *count)
+{
+    json_t *array = HrJsonReader_GetArray(reader, object, field, limit);
+    const char **names;
+    size_t i;
+
+    *count = (uint32_t)json_array_size(array);
+    names = talloc_zero_array(parent, const char *, *count);
+    for (i = 0; i < *count && reader->status == HR_OK; i++) {
+        json_t *value = json_array_get(array, i);
+
+        if (!json_is_string(value)) {
+            HrJsonReader_Fail(reader, HR_ERR_INVALID, field,
+                              "element %zu has the wrong type; use a string",
+                              i);
+            break;
+        }
+        names[i] = HrStrings_Add(reader->strings, json_string_value(value),
+                                 json_string_length(value));
+    }
+    return names;
+}
+
+/* Reads all fields of an edit. */
+static void
+read_edit(HrJsonReader *reader, json_t *object, HrTablesEdit *edit)
+{
+    HrJsonReader_CheckKeys(reader, object, edit_keys, NULL);
+    HrJsonReader_SetPlace(reader, "edit");
+    HrJsonReader_ReadRow(reader, object, &edit_field_list, edit);
+    read_routes(reader, edit, object, "set_routes", &edit->set_routes,
+                &edit->set_route_count);
+    read_pools(reader, edit, object, "set_pools", &edit->set_pools,
+               &edit->set_pool_count);
+    edit->delete_routes = read_names(reader, edit, object, "delete_routes",
+                                     HR_ROUTES_MAX, &edit->delete_route_count);
+    edit->delete_pools = read_names(reader, edit, object, "delete_pools",
+                                    HR_POOLS_MAX, &edit->delete_pool_count);
+}
+
+/* Reads the body of an edit: edit_id, operator, based_on, summary and any of
+ * set_routes, set_pools, delete_routes, delete_pools, replace. Rows are
+ * checked one by one; the whole is checked when the edit is applied. */
+HrTablesEdit *
+HrTablesEdit_FromJson(const void *parent, const char *text,
+                      size_t length_bytes, const char *source, HrError *err)
+{
+    HrJsonReader reader = {.source = source, .err = err};
+    HrTablesEdit *edit = talloc_zero(parent, HrTablesEdit);
+    json_t *object;
+
+    reader.strings = HrStrings_Create(edit);
+    object = HrJsonReader_Parse(&reader, text, length_bytes, TEXT_MAX_BYTES);
+    if (object != NULL) {
+        read_edit(&reader, object, edit);
+        json_decref(object);
+    }
+    if (reader.status != HR_OK) {
+        talloc_free(edit);
+        return NULL;
+    }
+    return edit;
+}
--- a/src/state-tables.c
+++ b/src/state-tables.c
@@ -180,9 +180,9 @@
 HrTables *
 HrTables_Copy(const void *parent, const HrTables *tables)
 {
-    HrTablesBuilder builder = HrTablesBuilder_Start(
-        parent, tables->route_count, tables->pool_count,
-        tables->tombstone_count, tables->edit_count);
+    HrTablesBuilder builder =
+        HrTablesBuilder_Start(parent, tables->route_count, tables->pool_count,
+                              tables->tombstone_count, tables->edit_count);
     uint32_t i;
 
     for (i = 0; i < tables->route_count; i++) {
