--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -14,3 +14,11 @@
 HR_COUNTER(sub_answers_dropped, answers,
            "answers that matched no open attempt")
 HR_COUNTER(log_events_suppressed, events, "log events left out by the limit")
+HR_COUNTER(config_store_calls, calls, "reads and watches of the tables")
+HR_COUNTER(config_store_failures, calls,
+           "reads and watches of the tables without an answer")
+HR_COUNTER(config_revisions, revisions, "table revisions put in force")
+HR_COUNTER(config_alarms, alarms,
+           "store found empty, older, invalid or forked")
+HR_COUNTER(config_bad_deltas, messages,
+           "table deltas from peers that did not apply")
--- /dev/null
+++ b/src/coord-config-store.c
@@ -0,0 +1,250 @@
+#include <talloc.h>
+
+#include <string.h>
+
+#include "coord-config-internal.h"
+#include "state-tables-json.h"
+
+/* A store that answers watches at once must not be called in a tight loop. */
+#define CALL_SPACING_NS (100 * HR_NS_PER_MS)
+
+/* Prepares the first call. */
+void
+HrConfigStore_Start(HrConfig *config)
+{
+    config->store.next_call_ns = config->now_ns;
+    config->store.last_answer_ns = config->now_ns;
+    /* Until the members are known, the daemon reads for itself. */
+    config->store.reader = true;
+}
+
+/* Returns the rendezvous rank of a daemon as a reader of the store. */
+static uint64_t
+rank_reader(uint64_t daemon_id)
+{
+    return HrHash_Bytes(&daemon_id, sizeof(daemon_id),
+                        HrHash_String("store-reader", 0));
+}
+
+/* Returns the member entry of this daemon, or NULL. */
+static const HrMember *
+find_self(const HrConfig *config, const HrMemberView *view)
+{
+    uint32_t i;
+
+    for (i = 0; i < view->member_count; i++) {
+        if (view->members[i].daemon_id == config->settings.self_id) {
+            return &view->members[i];
+        }
+    }
+    return NULL;
+}
+
+/* Decides whether this daemon is one of the store readers of its data
+ * centre: few other members there have a higher rank. */
+void
+HrConfigStore_SetMembers(HrConfig *config, const HrMemberView *view)
+{
+    const HrMember *self = find_self(config, view);
+    uint64_t own_rank = rank_reader(config->settings.self_id);
+    uint32_t ahead = 0, i;
+
+    for (i = 0; self != NULL && i < view->member_count; i++) {
+        const HrMember *member = &view->members[i];
+
+        if (member != self && member->state == HR_MEMBER_ALIVE &&
+            strcmp(member->data_centre, self->data_centre) == 0 &&
+            rank_reader(member->daemon_id) > own_rank) {
+            ahead++;
+        }
+    }
+    config->store.reader = ahead < config->settings.readers_per_data_centre;
+}
+
+/* Returns true if this daemon reads the store: as a reader, or because no
+ * peer has answered for some time. */
+static bool
+is_reading(const HrConfig *config)
+{
+    return config->store.reader ||
+           config->now_ns - config->peers.last_answer_ns >=
+               config->settings.peer_silence_ns;
+}
+
+/* Reads the value, or waits for a change when the revision is known. */
+static void
+start_call(HrConfig *config)
+{
+    HrConfigStore *store = &config->store;
+    HrConfigQueued *queued = HrConfig_Queue(config, HR_CONFIG_ACTION_READ);
+    HrStoreRead *read;
+
+    if (queued == NULL) {
+        return;
+    }
+    read = &queued->action.u.read;
+    read->request_id = ++store->request_id;
+    read->key = HR_STORE_TABLES_KEY;
+    read->watch = store->has_cursor;
+    read->watch_revision = store->cursor;
+    read->wait_ms = store->has_cursor ? config->settings.watch_wait_ms : 0;
+    read->timeout_ms = read->wait_ms + config->settings.call_timeout_ms;
+    store->call_open = true;
+    store->held_at_call = HrConfig_HeldRevision(config);
+    store->call_start_ns = config->now_ns;
+    store->call_end_ns =
+        config->now_ns + (int64_t)read->timeout_ms * HR_NS_PER_MS;
+    HrCounters_Add(config->settings.counters, HR_COUNTER_config_store_calls,
+                   1);
+}
+
+/* Ends the open call without an answer. The next one is a plain read: after
+ * an outage the key may have been restored under the same revision. */
+static void
+fail_call(HrConfig *config)
+{
+    HrConfigStore *store = &config->store;
+    double factor = 0.5 + HrRng_Unit(&config->rng);
+
+    store->call_open = false;
+    store->has_cursor = false;
+    store->next_call_ns =
+        config->now_ns + (int64_t)(factor * (double)config->settings.retry_ns);
+    HrCounters_Add(config->settings.counters, HR_COUNTER_config_store_failures,
+                   1);
+}
+
+/* Ends the open call with an answer. */
+static void
+finish_call(HrConfig *config, uint64_t revision)
+{
+    HrConfigStore *store = &config->store;
+
+    store->call_open = false;
+    store->has_cursor = true;
+    store->cursor = revision;
+    store->last_answer_ns = config->now_ns;
+    store->next_call_ns = store->call_start_ns + CALL_SPACING_NS;
+}
+
+/* Compares a value of the revision held. */
+static void
+compare_equal(HrConfig *config, const HrTables *found)
+{
+    if (found->digest != config->tables->digest) {
+        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_FORK, found->revision,
+                          "the store");
+        return;
+    }
+    HrConfig_Confirm(config, config->now_ns);
+    HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, found->revision, "");
+}
+
+/* Takes tables that were read; only newer ones are put in force. */
+static void
+take_tables(HrConfig *config, HrTables *found)
+{
+    uint64_t held = HrConfig_HeldRevision(config);
+
+    if (found->revision > held) {
+        HrConfig_Adopt(config, found, config->now_ns);
+        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, found->revision, "");
+        return;
+    }
+    if (found->revision == held) {
+        compare_equal(config, found);
+    }
+    else if (found->revision < config->store.held_at_call) {
+        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_STORE_OLDER, found->revision,
+                          "");
+    }
+    talloc_free(found);
+}
+
+/* Takes a value. */
+static void
+handle_value(HrConfig *config, const HrBytes *value)
+{
+    HrError err = {0};
+    HrTables *found = HrTables_FromJson(config, (const char *)value->data,
+                                        value->length_bytes, "store", &err);
+
+    if (found != NULL && found->revision == 0) {
+        HrError_Set(&err, HR_ERR_INVALID, "field \"revision\" is missing");
+        talloc_free(found);
+        found = NULL;
+    }
+    if (found == NULL) {
+        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_STORE_INVALID, 0,
+                          err.message);
+        return;
+    }
+    take_tables(config, found);
+}
+
+/* Takes the end of a call; replies to calls given up are ignored. */
+void
+HrConfigStore_HandleReply(HrConfig *config, const HrStoreReply *reply)
+{
+    HrConfigStore *store = &config->store;
+
+    if (!store->call_open || reply->request_id != store->request_id) {
+        return;
+    }
+    switch (reply->result) {
+    case HR_STORE_VALUE:
+        finish_call(config, reply->revision);
+        handle_value(config, &reply->value);
+        break;
+    case HR_STORE_ABSENT:
+        finish_call(config, 0);
+        if (store->held_at_call > 0) {
+            HrConfig_SetAlarm(config, HR_CONFIG_ALARM_STORE_EMPTY, 0, "");
+        }
+        break;
+    case HR_STORE_SAME:
+        finish_call(config, store->cursor);
+        /* Without an alarm the watched value is the one in force, unless a
+         * newer one has just come from a peer. */
+        if (config->alarm == HR_CONFIG_ALARM_NONE && store->cursor != 0 &&
+            store->held_at_call == HrConfig_HeldRevision(config)) {
+            HrConfig_Confirm(config, config->now_ns);
+        }
+        break;
+    default:
+        fail_call(config);
+        break;
+    }
+}
+
+/* Gives up a call that has taken too long and starts the next one. */
+void
+HrConfigStore_HandleTimer(HrConfig *config)
+{
+    HrConfigStore *store = &config->store;
+
+    if (store->call_open && config->now_ns >= store->call_end_ns) {
+        fail_call(config);
+    }
+    if (!store->call_open && is_reading(config) &&
+        config->now_ns >= store->next_call_ns) {
+        start_call(config);
+    }
+}
+
+/* Returns when the store part needs a timer event. */
+int64_t
+HrConfigStore_NextTimer(const HrConfig *config)
+{
+    const HrConfigStore *store = &config->store;
+    int64_t silent_ns =
+        config->peers.last_answer_ns + config->settings.peer_silence_ns;
+
+    if (store->call_open) {
+        return store->call_end_ns;
+    }
+    if (store->reader || silent_ns <= store->next_call_ns) {
+        return store->next_call_ns;
+    }
+    return silent_ns;
+}
--- /dev/null
+++ b/src/coord-config.c
@@ -0,0 +1,302 @@
+#include "coord-config.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-config-internal.h"
+
+static const char *const alarm_names[] = {
+    [HR_CONFIG_ALARM_NONE] = "none",
+    [HR_CONFIG_ALARM_STORE_EMPTY] = "store_empty",
+    [HR_CONFIG_ALARM_STORE_OLDER] = "store_older",
+    [HR_CONFIG_ALARM_STORE_INVALID] = "store_invalid",
+    [HR_CONFIG_ALARM_FORK] = "fork",
+};
+
+/* Returns the stable lower-case name of an alarm; "none" without one. */
+const char *
+HrConfigAlarm_Name(HrConfigAlarm alarm)
+{
+    return (uint32_t)alarm <= HR_CONFIG_ALARM_FORK ? alarm_names[alarm]
+                                                   : "other";
+}
+
+/* Fills the settings with the defaults. */
+void
+HrConfigSettings_Default(HrConfigSettings *settings, uint64_t self_id)
+{
+    memset(settings, 0, sizeof(*settings));
+    settings->self_id = self_id;
+    settings->readers_per_data_centre = 2;
+    settings->hint_fanout = 3;
+    settings->compare_ns = HR_NS_PER_S;
+    settings->pull_timeout_ns = 500 * HR_NS_PER_MS;
+    settings->watch_wait_ms = 2000;
+    settings->call_timeout_ms = 1000;
+    settings->retry_ns = HR_NS_PER_S;
+    settings->peer_silence_ns = 3 * HR_NS_PER_S;
+}
+
+/* Creates the module without tables, or returns NULL when memory runs out. */
+HrConfig *
+HrConfig_Create(const void *parent, const HrConfigSettings *settings,
+                HrRng rng)
+{
+    HrConfig *config = talloc_zero(parent, HrConfig);
+
+    if (config == NULL) {
+        return NULL;
+    }
+    config->settings = *settings;
+    config->rng = rng;
+    config->confirmed_ns = INT64_MIN;
+    STAILQ_INIT(&config->queue);
+    return config;
+}
+
+/* Queues an action; the caller fills it. Returns NULL when memory runs out. */
+HrConfigQueued *
+HrConfig_Queue(HrConfig *config, HrConfigActionType type)
+{
+    HrConfigQueued *queued = talloc_zero(config, HrConfigQueued);
+
+    if (queued == NULL) {
+        return NULL;
+    }
+    queued->action.type = type;
+    STAILQ_INSERT_TAIL(&config->queue, queued, link);
+    return queued;
+}
+
+/* Returns the revision held; 0 for none. */
+uint64_t
+HrConfig_HeldRevision(const HrConfig *config)
+{
+    return config->tables == NULL ? 0 : config->tables->revision;
+}
+
+/* Records that the store held the current tables at a time. */
+void
+HrConfig_Confirm(HrConfig *config, int64_t confirmed_ns)
+{
+    if (confirmed_ns > config->confirmed_ns) {
+        config->confirmed_ns = confirmed_ns;
+    }
+}
+
+/* Records that a source has named a revision. */
+static void
+note_revision(HrConfig *config, uint64_t revision)
+{
+    if (revision > config->known_revision) {
+        config->known_revision = revision;
+    }
+}
+
+/* Puts newer tables in force, which the module owns from now on, and tells
+ * peers. confirmed_ns is when the store was known to hold them. */
+void
+HrConfig_Adopt(HrConfig *config, HrTables *tables, int64_t confirmed_ns)
+{
+    HrConfigQueued *queued = HrConfig_Queue(config, HR_CONFIG_ACTION_PUBLISH);
+
+    if (queued == NULL) {
+        talloc_free(tables);
+        return;
+    }
+    queued->action.u.publish.tables = HrTables_Copy(queued, tables);
+    talloc_free(config->tables);
+    config->tables = talloc_steal(config, tables);
+    config->confirmed_ns = confirmed_ns;
+    note_revision(config, tables->revision);
+    HrCounters_Add(config->settings.counters, HR_COUNTER_config_revisions, 1);
+    HrConfigPeers_SendHints(config);
+}
+
+/* Writes what was found and the remedy. */
+static void
+describe_alarm(HrError *err, HrConfigAlarm alarm, uint64_t held,
+               uint64_t found, const char *detail)
+{
+    switch (alarm) {
+    case HR_CONFIG_ALARM_NONE:
+        HrError_Set(err, HR_OK, "%s", "");
+        break;
+    case HR_CONFIG_ALARM_STORE_EMPTY:
+        HrError_Set(err, HR_ERR_STALE,
+                    "the store has no tables; revision %" PRIu64
+                    " stays in force and edits are refused: run \"hickoryctl "
+                    "restore\"",
+                    held);
+        break;
+    case HR_CONFIG_ALARM_STORE_OLDER:
+        HrError_Set(err, HR_ERR_STALE,
+                    "the store holds the older revision %" PRIu64
+                    "; revision %" PRIu64 " stays in force and edits are "
+                    "refused: run \"hickoryctl restore\"",
+                    found, held);
+        break;
+    case HR_CONFIG_ALARM_STORE_INVALID:
+        HrError_Set(err, HR_ERR_INVALID,
+                    "the store's tables are damaged (%.120s); revision "
+                    "%" PRIu64 " stays in force: run \"hickoryctl restore\"",
+                    detail, held);
+        break;
+    case HR_CONFIG_ALARM_FORK:
+        HrError_Set(err, HR_ERR_CONFLICT,
+                    "%.120s holds other rows at revision %" PRIu64
+                    "; compare \"hickoryctl pools get\" of the daemons, then "
+                    "make an edit that sets the right rows",
+                    detail, held);
+        break;
+    }
+}
+
+/* Raises, changes or clears the alarm; logged only when it changes. */
+void
+HrConfig_SetAlarm(HrConfig *config, HrConfigAlarm alarm,
+                  uint64_t found_revision, const char *detail)
+{
+    uint64_t held = HrConfig_HeldRevision(config);
+    HrConfigQueued *queued;
+
+    if (alarm == config->alarm) {
+        return;
+    }
+    config->alarm = alarm;
+    describe_alarm(&config->alarm_error, alarm, held, found_revision, detail);
+    if (alarm != HR_CONFIG_ALARM_NONE) {
+        HrCounters_Add(config->settings.counters, HR_COUNTER_config_alarms, 1);
+    }
+    queued = HrConfig_Queue(config, HR_CONFIG_ACTION_ALARM);
+    if (queued != NULL) {
+        queued->action.u.alarm.alarm = alarm;
+        queued->action.u.alarm.held_revision = held;
+        queued->action.u.alarm.found_revision = found_revision;
+        queued->action.u.alarm.error = config->alarm_error;
+    }
+}
+
+/* Takes the tables of an edit that this daemon made. */
+static void
+handle_local_tables(HrConfig *config, const HrTables *tables)
+{
+    HrTables *copy;
+
+    if (tables->revision <= HrConfig_HeldRevision(config)) {
+        return;
+    }
+    copy = HrTables_Copy(config, tables);
+    if (copy == NULL) {
+        return;
+    }
+    HrConfig_Adopt(config, copy, config->now_ns);
+    HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, tables->revision, "");
+}
+
+/* Frees the action that was popped last. */
+static void
+free_popped(HrConfig *config)
+{
+    talloc_free(config->popped);
+    config->popped = NULL;
+}
+
+/* Takes one event; START comes first. */
+void
+HrConfig_Handle(HrConfig *config, const HrConfigEvent *event)
+{
+    free_popped(config);
+    config->now_ns = event->now_ns;
+    switch (event->type) {
+    case HR_CONFIG_EVENT_START:
+        HrConfigStore_Start(config);
+        HrConfigPeers_Start(config);
+        break;
+    case HR_CONFIG_EVENT_TIMER:
+        break;
+    case HR_CONFIG_EVENT_MEMBERS:
+        HrConfigStore_SetMembers(config, event->u.members);
+        HrConfigPeers_SetMembers(config, event->u.members);
+        break;
+    case HR_CONFIG_EVENT_STORE_REPLY:
+        HrConfigStore_HandleReply(config, &event->u.store_reply);
+        break;
+    case HR_CONFIG_EVENT_MESSAGE:
+        note_revision(config, event->u.message.message->revision);
+        HrConfigPeers_HandleMessage(config, event->u.message.from_id,
+                                    event->u.message.message);
+        break;
+    case HR_CONFIG_EVENT_LOCAL_TABLES:
+        handle_local_tables(config, event->u.tables);
+        break;
+    }
+    HrConfigPeers_HandleTimer(config);
+    HrConfigStore_HandleTimer(config);
+}
+
+/* Pops the next action; returns false when there is none. */
+bool
+HrConfig_Next(HrConfig *config, HrConfigAction *action)
+{
+    free_popped(config);
+    if (STAILQ_EMPTY(&config->queue)) {
+        return false;
+    }
+    config->popped = STAILQ_FIRST(&config->queue);
+    STAILQ_REMOVE_HEAD(&config->queue, link);
+    *action = config->popped->action;
+    return true;
+}
+
+/* Returns when the module needs a timer event. */
+int64_t
+HrConfig_NextTimer(const HrConfig *config)
+{
+    int64_t store_ns = HrConfigStore_NextTimer(config);
+    int64_t peers_ns = HrConfigPeers_NextTimer(config);
+
+    return store_ns < peers_ns ? store_ns : peers_ns;
+}
+
+/* Returns the tables held; NULL before the first ones. The module owns them
+ * and frees them when it moves to a newer revision. */
+const HrTables *
+HrConfig_Tables(const HrConfig *config)
+{
+    return config->tables;
+}
+
+/* Returns the highest revision that the store or a peer has named. An edit
+ * is refused when the store is older than that. */
+uint64_t
+HrConfig_KnownRevision(const HrConfig *config)
+{
+    return config->known_revision;
+}
+
+/* Returns the state that the operator listener reports. */
+HrConfigStatus
+HrConfig_Status(const HrConfig *config, int64_t now_ns)
+{
+    int64_t limit_ns = 2 * config->settings.peer_silence_ns;
+    HrConfigStatus status = {
+        .revision = HrConfig_HeldRevision(config),
+        .digest = config->tables == NULL ? 0 : config->tables->digest,
+        .known_revision = config->known_revision,
+        .age_ms = HR_CONFIG_AGE_UNKNOWN,
+        .store_reader = config->store.reader,
+        .cut_off = now_ns - config->store.last_answer_ns > limit_ns &&
+                   now_ns - config->peers.last_answer_ns > limit_ns,
+        .alarm = config->alarm,
+        .remedy = config->alarm_error.message,
+    };
+
+    if (config->confirmed_ns != INT64_MIN) {
+        status.age_ms =
+            (uint64_t)(now_ns - config->confirmed_ns) / HR_NS_PER_MS;
+    }
+    return status;
+}
