--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -29,3 +29,11 @@
            "sub-requests sent to a further scheduling daemon")
 HR_COUNTER(gather_bad_answers, answers,
            "sub-answers of a wrong shard or version, or without payload")
+HR_COUNTER(config_store_calls, calls, "reads and watches of the tables")
+HR_COUNTER(config_store_failures, calls,
+           "reads and watches of the tables without an answer")
+HR_COUNTER(config_revisions, revisions, "table revisions put in force")
+HR_COUNTER(config_alarms, alarms,
+           "store found empty, older, invalid or forked")
+HR_COUNTER(config_bad_deltas, messages,
+           "table deltas from peers that did not apply")
