--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -14,3 +14,19 @@
 HR_COUNTER(sub_answers_dropped, answers,
            "answers that matched no open attempt")
 HR_COUNTER(log_events_suppressed, events, "log events left out by the limit")
+HR_COUNTER(claim_messages, messages, "claim asks and outcomes accepted")
+HR_COUNTER(claim_commits, writes, "claim batches written to the store")
+HR_COUNTER(claim_conflicts, writes,
+           "claim batches refused because another owner wrote first")
+HR_COUNTER(claim_store_failures, calls, "claim store calls that failed")
+HR_COUNTER(claims_granted, claims, "claims granted to this daemon")
+HR_COUNTER(claims_released, claims, "claims given up without a dispatch")
+HR_COUNTER(member_probes_sent, probes, "direct membership probes sent")
+HR_COUNTER(member_probes_failed, probes,
+           "membership probes without a direct or indirect answer")
+HR_COUNTER(member_refutations, refutations,
+           "wrong suspicions of this daemon that it refuted")
+HR_COUNTER(member_pauses, pauses,
+           "times this process was found to have been paused")
+HR_COUNTER(members_refused, members,
+           "member updates refused as malformed or over the limit")
--- /dev/null
+++ b/src/coord-claim-holder.c
@@ -0,0 +1,576 @@
+#include <bsd/sys/queue.h>
+#include <bsd/sys/tree.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-claim.h"
+
+/* The time between two repetitions doubles up to this. */
+#define RESEND_MAX_NS (8 * HR_NS_PER_S)
+
+/* A closed claim is remembered so long, to release it if a late grant shows
+ * that it was claimed after all. */
+#define LINGER_NS (30 * HR_NS_PER_S)
+
+typedef enum EntryState {
+    ENTRY_ASKING,     /* waits for the owner's reply */
+    ENTRY_DISPATCHED, /* the embedder runs it and reports the outcome */
+    ENTRY_RECORDING,  /* the outcome is sent until it is confirmed */
+    ENTRY_CLOSED,     /* never dispatched; remembered for a while */
+} EntryState;
+
+/* One claim of this daemon. */
+typedef struct Entry {
+    RB_ENTRY(Entry) by_sequence;
+    RB_ENTRY(Entry) by_due;
+    EntryState state;
+    uint64_t sequence;
+    uint64_t token;
+    uint32_t partition;
+    char request_id[HR_REQUEST_ID_BYTES];
+    int64_t expires_ms;
+    int64_t deadline_ns;
+    bool first_copy;
+    int64_t resend_ns; /* until the next repetition */
+    int64_t resend_at_ns;
+    int64_t forget_at_ns; /* RECORDING, CLOSED */
+    int64_t due_ns;       /* when the entry needs a timer */
+    HrClaimState outcome;
+    uint16_t result_bytes;
+    uint8_t result[HR_CLAIM_RESULT_BYTES];
+} Entry;
+
+/* A queued action. */
+typedef struct HolderAction {
+    STAILQ_ENTRY(HolderAction) link;
+    HrClaimHolderAction action;
+} HolderAction;
+
+RB_HEAD(SequenceTree, Entry);
+RB_HEAD(DueTree, Entry);
+
+struct HrClaimHolder {
+    HrClaimHolderConfig config;
+    HrRng rng;
+    uint64_t last_sequence;
+    uint32_t entry_count;
+    uint32_t open_count; /* entries that are not closed */
+    uint64_t owners[HR_CLAIM_PARTITIONS];
+    struct SequenceTree by_sequence;
+    struct DueTree by_due;
+    STAILQ_HEAD(, HolderAction) actions;
+    HrClaimHolderAction unsent; /* written instead of one without memory */
+};
+
+/* Orders entries by sequence. */
+static int
+compare_sequence(const Entry *left, const Entry *right)
+{
+    return left->sequence < right->sequence   ? -1
+           : left->sequence > right->sequence ? 1
+                                              : 0;
+}
+
+/* Orders entries by due time, then by sequence. */
+static int
+compare_due(const Entry *left, const Entry *right)
+{
+    if (left->due_ns != right->due_ns) {
+        return left->due_ns < right->due_ns ? -1 : 1;
+    }
+    return compare_sequence(left, right);
+}
+
+RB_GENERATE_STATIC(SequenceTree, Entry, by_sequence, compare_sequence)
+RB_GENERATE_STATIC(DueTree, Entry, by_due, compare_due)
+
+/* Returns an empty queued action. */
+static HrClaimHolderAction *
+push_action(HrClaimHolder *holder, HrClaimHolderActionKind kind)
+{
+    HolderAction *entry = talloc_zero(holder, HolderAction);
+
+    if (entry == NULL) {
+        return &holder->unsent;
+    }
+    entry->action.kind = kind;
+    STAILQ_INSERT_TAIL(&holder->actions, entry, link);
+    return &entry->action;
+}
+
+/* Returns true if an entry has not been closed. */
+static bool
+is_open(const Entry *entry)
+{
+    return entry->state != ENTRY_CLOSED;
+}
+
+/* Moves an entry to a state and keeps the number of open ones. */
+static void
+set_state(HrClaimHolder *holder, Entry *entry, EntryState state)
+{
+    holder->open_count -= is_open(entry);
+    entry->state = state;
+    holder->open_count += is_open(entry);
+}
+
+/* Returns when an entry next needs a timer. */
+static int64_t
+find_due(const Entry *entry)
+{
+    int64_t limit_ns = entry->forget_at_ns;
+
+    switch (entry->state) {
+    case ENTRY_ASKING:
+        limit_ns = entry->deadline_ns;
+        break;
+    case ENTRY_DISPATCHED:
+        return HR_TIME_NEVER;
+    case ENTRY_RECORDING:
+        break;
+    case ENTRY_CLOSED:
+        return limit_ns;
+    }
+    return entry->resend_at_ns < limit_ns ? entry->resend_at_ns : limit_ns;
+}
+
+/* Moves an entry to its place in the order of timers. */
+static void
+reschedule(HrClaimHolder *holder, Entry *entry)
+{
+    RB_REMOVE(DueTree, &holder->by_due, entry);
+    entry->due_ns = find_due(entry);
+    RB_INSERT(DueTree, &holder->by_due, entry);
+}
+
+/* Removes an entry. */
+static void
+remove_entry(HrClaimHolder *holder, Entry *entry)
+{
+    RB_REMOVE(DueTree, &holder->by_due, entry);
+    RB_REMOVE(SequenceTree, &holder->by_sequence, entry);
+    holder->open_count -= is_open(entry);
+    holder->entry_count--;
+    talloc_free(entry);
+}
+
+/* Queues an ANSWER for a claim that does not run here. */
+static void
+push_answer(HrClaimHolder *holder, uint64_t token, HrClaimVerdict verdict,
+            HrReason reason, bool not_run)
+{
+    HrClaimHolderAction *action =
+        push_action(holder, HR_CLAIM_HOLDER_ACTION_ANSWER);
+
+    action->u.answer.token = token;
+    action->u.answer.verdict = verdict;
+    action->u.answer.reason = reason;
+    action->u.answer.not_run = not_run;
+}
+
+/* Sends the ask or the outcome of an entry to the partition's owner; without
+ * one it is tried again later. */
+static void
+send_entry(HrClaimHolder *holder, Entry *entry, int64_t now_ns)
+{
+    uint64_t owner_id = holder->owners[entry->partition];
+    HrClaimMessage *message;
+    HrClaimHolderAction *action;
+
+    entry->resend_at_ns =
+        now_ns + entry->resend_ns +
+        (int64_t)HrRng_Below(&holder->rng, (uint64_t)entry->resend_ns / 4 + 1);
+    if (entry->resend_ns < RESEND_MAX_NS) {
+        entry->resend_ns *= 2;
+    }
+    if (owner_id == 0) {
+        return;
+    }
+    action = push_action(holder, HR_CLAIM_HOLDER_ACTION_SEND);
+    action->u.send.daemon_id = owner_id;
+    message = &action->u.send.message;
+    message->kind = entry->state == ENTRY_ASKING ? HR_CLAIM_MESSAGE_ASK
+                                                 : HR_CLAIM_MESSAGE_OUTCOME;
+    message->holder.daemon_id = holder->config.daemon_id;
+    message->holder.incarnation = holder->config.incarnation;
+    message->holder.sequence = entry->sequence;
+    memcpy(message->request_id, entry->request_id,
+           sizeof(message->request_id));
+    message->expires_ms = entry->expires_ms;
+    message->time_left_ns = entry->deadline_ns - now_ns;
+    message->first_copy = entry->first_copy;
+    message->state = entry->outcome;
+    message->result_bytes = entry->result_bytes;
+    memcpy(message->result, entry->result, entry->result_bytes);
+}
+
+/* Begins to send the outcome of an entry. It is sent until the record is
+ * dropped: a recorded outcome answers the copies that arrive until then. */
+static void
+begin_recording(HrClaimHolder *holder, Entry *entry, HrClaimState outcome,
+                int64_t now_ns, int64_t wall_ms)
+{
+    int64_t left_ms = entry->expires_ms - wall_ms;
+
+    /* A wall clock that jumps must not keep the entry for ever. */
+    left_ms = left_ms < 0 ? 0 : left_ms;
+    left_ms =
+        left_ms > HR_CLAIM_MAX_AHEAD_MS ? HR_CLAIM_MAX_AHEAD_MS : left_ms;
+    entry->outcome = outcome;
+    entry->forget_at_ns = now_ns + (left_ms + HR_CLAIM_KEEP_MS) * HR_NS_PER_MS;
+    entry->resend_ns = holder->config.resend_ns;
+    set_state(holder, entry, ENTRY_RECORDING);
+    send_entry(holder, entry, now_ns);
+    reschedule(holder, entry);
+}
+
+/* Gives a claim up that was not dispatched. */
+static void
+release_entry(HrClaimHolder *holder, Entry *entry, int64_t now_ns,
+              int64_t wall_ms)
+{
+    HrCounters_Add(holder->config.counters, HR_COUNTER_claims_released, 1);
+    begin_recording(holder, entry, HR_CLAIM_RELEASED, now_ns, wall_ms);
+}
+
+/* Closes a claim that was not dispatched and needs no release. */
+static void
+close_entry(HrClaimHolder *holder, Entry *entry, int64_t now_ns)
+{
+    set_state(holder, entry, ENTRY_CLOSED);
+    entry->forget_at_ns = now_ns + LINGER_NS;
+    reschedule(holder, entry);
+}
+
+/* Ends an ask whose deadline has come without a reply. The owner may yet
+ * claim the id for it, so it is released. */
+static void
+expire_ask(HrClaimHolder *holder, Entry *entry, int64_t now_ns,
+           int64_t wall_ms)
+{
+    if (entry->first_copy) {
+        push_answer(holder, entry->token, HR_CLAIM_VERDICT_REFUSED,
+                    HR_REASON_DEADLINE, true);
+    }
+    else {
+        push_answer(holder, entry->token, HR_CLAIM_VERDICT_UNKNOWN,
+                    HR_REASON_DEADLINE, false);
+    }
+    release_entry(holder, entry, now_ns, wall_ms);
+}
+
+/* Does what an entry whose time has come needs. */
+static void
+run_entry(HrClaimHolder *holder, Entry *entry, int64_t now_ns, int64_t wall_ms)
+{
+    if (entry->state == ENTRY_ASKING && now_ns >= entry->deadline_ns) {
+        expire_ask(holder, entry, now_ns, wall_ms);
+    }
+    else if (entry->state != ENTRY_ASKING && now_ns >= entry->forget_at_ns) {
+        remove_entry(holder, entry);
+    }
+    else {
+        send_entry(holder, entry, now_ns);
+        reschedule(holder, entry);
+    }
+}
+
+/* Runs every entry whose time has come. */
+static void
+run_due(HrClaimHolder *holder, int64_t now_ns, int64_t wall_ms)
+{
+    Entry *entry;
+
+    while ((entry = RB_MIN(DueTree, &holder->by_due)) != NULL &&
+           entry->due_ns <= now_ns) {
+        run_entry(holder, entry, now_ns, wall_ms);
+    }
+}
+
+/* Takes a grant: dispatches in time, once; otherwise releases. A grant proves
+ * that no earlier copy ran. */
+static void
+accept_grant(HrClaimHolder *holder, Entry *entry, int64_t now_ns,
+             int64_t wall_ms)
+{
+    HrClaimHolderAction *action;
+
+    if (entry->state == ENTRY_CLOSED) {
+        release_entry(holder, entry, now_ns, wall_ms);
+    }
+    if (entry->state != ENTRY_ASKING) {
+        return;
+    }
+    if (now_ns >= entry->deadline_ns || wall_ms >= entry->expires_ms) {
+        push_answer(holder, entry->token, HR_CLAIM_VERDICT_REFUSED,
+                    now_ns >= entry->deadline_ns ? HR_REASON_DEADLINE
+                                                 : HR_REASON_EXPIRED,
+                    true);
+        release_entry(holder, entry, now_ns, wall_ms);
+        return;
+    }
+    HrCounters_Add(holder->config.counters, HR_COUNTER_claims_granted, 1);
+    set_state(holder, entry, ENTRY_DISPATCHED);
+    reschedule(holder, entry);
+    action = push_action(holder, HR_CLAIM_HOLDER_ACTION_DISPATCH);
+    action->u.dispatch.token = entry->token;
+    action->u.dispatch.sequence = entry->sequence;
+    action->u.dispatch.deadline_ns = entry->deadline_ns;
+}
+
+/* Takes a reply that is no grant. */
+static void
+accept_denial(HrClaimHolder *holder, Entry *entry,
+              const HrClaimMessage *message, int64_t now_ns)
+{
+    HrClaimHolderAction *action;
+
+    if (entry->state != ENTRY_ASKING) {
+        return;
+    }
+    action = push_action(holder, HR_CLAIM_HOLDER_ACTION_ANSWER);
+    action->u.answer.token = entry->token;
+    action->u.answer.verdict = message->verdict;
+    action->u.answer.reason = message->reason;
+    action->u.answer.not_run = message->not_run;
+    action->u.answer.state = message->state;
+    action->u.answer.result_bytes = message->result_bytes;
+    memcpy(action->u.answer.result, message->result, message->result_bytes);
+    close_entry(holder, entry, now_ns);
+}
+
+/* Takes the confirmation of an outcome. */
+static void
+accept_ack(HrClaimHolder *holder, Entry *entry, int64_t now_ns)
+{
+    if (entry->state != ENTRY_RECORDING) {
+        return;
+    }
+    if (entry->outcome == HR_CLAIM_RELEASED) {
+        close_entry(holder, entry, now_ns);
+    }
+    else {
+        remove_entry(holder, entry);
+    }
+}
+
+/* Returns the entry with a sequence, or NULL. */
+static Entry *
+find_entry(HrClaimHolder *holder, uint64_t sequence)
+{
+    Entry key = {.sequence = sequence};
+
+    return RB_FIND(SequenceTree, &holder->by_sequence, &key);
+}
+
+/* Handles a message from an owner. */
+static void
+handle_message(HrClaimHolder *holder, const HrClaimHolderEvent *event)
+{
+    const HrClaimMessage *message = event->u.message;
+    Entry *entry;
+
+    if (message->holder.daemon_id != holder->config.daemon_id ||
+        message->holder.incarnation != holder->config.incarnation) {
+        return;
+    }
+    entry = find_entry(holder, message->holder.sequence);
+    if (entry == NULL) {
+        return;
+    }
+    if (message->kind == HR_CLAIM_MESSAGE_OUTCOME_ACK) {
+        accept_ack(holder, entry, event->now_ns);
+    }
+    else if (message->kind == HR_CLAIM_MESSAGE_REPLY &&
+             message->verdict == HR_CLAIM_VERDICT_GRANTED) {
+        accept_grant(holder, entry, event->now_ns, event->wall_ms);
+    }
+    else if (message->kind == HR_CLAIM_MESSAGE_REPLY) {
+        accept_denial(holder, entry, message, event->now_ns);
+    }
+}
+
+/* Returns why a claim cannot be asked for; HR_REASON_NONE when it can. */
+static HrReason
+check_start(const HrClaimHolder *holder, const HrClaimStart *start,
+            int64_t now_ns)
+{
+    size_t length = strlen(start->request_id);
+
+    if (length == 0 || length >= HR_REQUEST_ID_BYTES) {
+        return HR_REASON_NO_ROUTE;
+    }
+    if (now_ns >= start->deadline_ns) {
+        return HR_REASON_DEADLINE;
+    }
+    if (holder->entry_count >= holder->config.max_entries) {
+        return HR_REASON_OVERLOADED;
+    }
+    return HR_REASON_NONE;
+}
+
+/* Begins to ask for a claim. */
+static void
+handle_start(HrClaimHolder *holder, const HrClaimStart *start, int64_t now_ns)
+{
+    HrReason reason = check_start(holder, start, now_ns);
+    Entry *entry = NULL;
+
+    if (reason == HR_REASON_NONE) {
+        entry = talloc_zero(holder, Entry);
+        reason = HR_REASON_OVERLOADED;
+    }
+    if (entry == NULL) {
+        push_answer(holder, start->token, HR_CLAIM_VERDICT_REFUSED, reason,
+                    start->first_copy);
+        return;
+    }
+    entry->state = ENTRY_ASKING;
+    entry->sequence = ++holder->last_sequence;
+    entry->token = start->token;
+    entry->partition = HrOwner_ClaimPartition(start->request_id);
+    memcpy(entry->request_id, start->request_id,
+           strlen(start->request_id) + 1);
+    entry->expires_ms = start->expires_ms;
+    entry->deadline_ns = start->deadline_ns;
+    entry->first_copy = start->first_copy;
+    entry->resend_ns = holder->config.resend_ns;
+    holder->entry_count++;
+    holder->open_count++;
+    RB_INSERT(SequenceTree, &holder->by_sequence, entry);
+    RB_INSERT(DueTree, &holder->by_due, entry);
+    send_entry(holder, entry, now_ns);
+    reschedule(holder, entry);
+}
+
+/* Takes the outcome of a dispatched request. */
+static void
+handle_outcome(HrClaimHolder *holder, const HrClaimHolderEvent *event)
+{
+    const HrBytes *result = &event->u.outcome.result;
+    Entry *entry = find_entry(holder, event->u.outcome.sequence);
+
+    if (entry == NULL || entry->state != ENTRY_DISPATCHED) {
+        return;
+    }
+    if (event->u.outcome.state == HR_CLAIM_RELEASED) {
+        release_entry(holder, entry, event->now_ns, event->wall_ms);
+        return;
+    }
+    if (result->length_bytes > 0 &&
+        result->length_bytes <= HR_CLAIM_RESULT_BYTES) {
+        entry->result_bytes = (uint16_t)result->length_bytes;
+        memcpy(entry->result, result->data, result->length_bytes);
+    }
+    begin_recording(holder, entry, event->u.outcome.state, event->now_ns,
+                    event->wall_ms);
+}
+
+/* Finds the owners in a new view; what waits for a former owner is sent to
+ * the new one at once. */
+static void
+handle_view(HrClaimHolder *holder, const HrMemberView *view, int64_t now_ns)
+{
+    bool changed[HR_CLAIM_PARTITIONS];
+    uint32_t i;
+    Entry *entry;
+
+    for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
+        uint64_t owner_id = HrOwner_PartitionOwner(view, i);
+
+        changed[i] = owner_id != holder->owners[i];
+        holder->owners[i] = owner_id;
+    }
+    RB_FOREACH (entry, SequenceTree, &holder->by_sequence) {
+        if (changed[entry->partition] && (entry->state == ENTRY_ASKING ||
+                                          entry->state == ENTRY_RECORDING)) {
+            entry->resend_at_ns = now_ns;
+            entry->resend_ns = holder->config.resend_ns;
+            reschedule(holder, entry);
+        }
+    }
+}
+
+/* Fills in the designed values. */
+void
+HrClaimHolderConfig_Default(HrClaimHolderConfig *config)
+{
+    memset(config, 0, sizeof(*config));
+    /* Longer than a commit that waits for its turn: 200 ms and a write. */
+    config->resend_ns = 400 * HR_NS_PER_MS;
+    config->max_entries = 16384;
+}
+
+/* Creates the holder side of one daemon. */
+HrClaimHolder *
+HrClaimHolder_Create(const void *parent, const HrClaimHolderConfig *config,
+                     HrRng rng)
+{
+    HrClaimHolder *holder = talloc_zero(parent, HrClaimHolder);
+
+    if (holder == NULL) {
+        return NULL;
+    }
+    holder->config = *config;
+    holder->rng = rng;
+    RB_INIT(&holder->by_sequence);
+    RB_INIT(&holder->by_due);
+    STAILQ_INIT(&holder->actions);
+    return holder;
+}
+
+/* Processes one event. */
+void
+HrClaimHolder_Handle(HrClaimHolder *holder, const HrClaimHolderEvent *event)
+{
+    switch (event->kind) {
+    case HR_CLAIM_HOLDER_EVENT_TIMER:
+        break;
+    case HR_CLAIM_HOLDER_EVENT_VIEW:
+        handle_view(holder, event->u.view, event->now_ns);
+        break;
+    case HR_CLAIM_HOLDER_EVENT_START:
+        handle_start(holder, &event->u.start, event->now_ns);
+        break;
+    case HR_CLAIM_HOLDER_EVENT_MESSAGE:
+        handle_message(holder, event);
+        break;
+    case HR_CLAIM_HOLDER_EVENT_OUTCOME:
+        handle_outcome(holder, event);
+        break;
+    }
+    run_due(holder, event->now_ns, event->wall_ms);
+}
+
+/* Pops the next pending action; returns false when there is none. */
+bool
+HrClaimHolder_Next(HrClaimHolder *holder, HrClaimHolderAction *action)
+{
+    HolderAction *entry = STAILQ_FIRST(&holder->actions);
+
+    if (entry == NULL) {
+        return false;
+    }
+    STAILQ_REMOVE_HEAD(&holder->actions, link);
+    *action = entry->action;
+    talloc_free(entry);
+    return true;
+}
+
+/* Returns when a timer event is needed next. */
+int64_t
+HrClaimHolder_NextTimer(const HrClaimHolder *holder)
+{
+    /* RB_MIN of libbsd takes a pointer to a mutable head. */
+    struct DueTree head = holder->by_due;
+    Entry *entry = RB_MIN(DueTree, &head);
+
+    return entry != NULL ? entry->due_ns : HR_TIME_NEVER;
+}
+
+/* Returns the number of claims without a settled outcome. */
+uint32_t
+HrClaimHolder_Open(const HrClaimHolder *holder)
+{
+    return holder->open_count;
+}
--- /dev/null
+++ b/src/coord-claim-value.c
@@ -0,0 +1,213 @@
+#include "coord-claim-value.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* Tags, lengths and numbers of a record at their largest: record tag and
+ * length 4, id 3, expiry 11, holder 9 + 11 + 11, state 2, result 3. */
+#define RECORD_OVERHEAD_BYTES 54
+#define VALUE_OVERHEAD_BYTES 16
+
+/* Returns the index of the first record whose id is not below an id. */
+static uint32_t
+find_index(const HrClaimValue *value, const char *request_id)
+{
+    uint32_t low = 0, high = value->record_count;
+
+    while (low < high) {
+        uint32_t middle = low + (high - low) / 2;
+
+        if (strcmp(value->records[middle]->request_id, request_id) < 0) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+/* Returns true if the record at an index has the id. */
+static bool
+has_id(const HrClaimValue *value, uint32_t index, const char *request_id)
+{
+    return index < value->record_count &&
+           strcmp(value->records[index]->request_id, request_id) == 0;
+}
+
+/* Creates a value without records. */
+HrClaimValue *
+HrClaimValue_Create(const void *parent)
+{
+    return talloc_zero(parent, HrClaimValue);
+}
+
+/* Copies a value and its records. */
+HrClaimValue *
+HrClaimValue_Copy(const void *parent, const HrClaimValue *value)
+{
+    HrClaimValue *copy = HrClaimValue_Share(parent, value);
+    uint32_t i;
+
+    if (copy == NULL) {
+        return NULL;
+    }
+    for (i = 0; i < copy->record_count; i++) {
+        copy->records[i] =
+            talloc_memdup(parent, value->records[i], sizeof(HrClaimRecord));
+        if (copy->records[i] == NULL) {
+            copy->record_count = i;
+            HrClaimValue_Free(copy, NULL);
+            return NULL;
+        }
+    }
+    return copy;
+}
+
+/* Copies a value that shares its records with the original. */
+HrClaimValue *
+HrClaimValue_Share(const void *parent, const HrClaimValue *value)
+{
+    HrClaimValue *copy = HrClaimValue_Create(parent);
+
+    if (copy == NULL) {
+        return NULL;
+    }
+    copy->watermark_ms = value->watermark_ms;
+    copy->record_count = value->record_count;
+    if (value->record_count == 0) {
+        return copy;
+    }
+    copy->records = talloc_memdup(
+        copy, value->records, value->record_count * sizeof(HrClaimRecord *));
+    if (copy->records == NULL) {
+        talloc_free(copy);
+        return NULL;
+    }
+    return copy;
+}
+
+/* Frees a value and those of its records that keep (which may be NULL) does
+ * not share. */
+void
+HrClaimValue_Free(HrClaimValue *value, const HrClaimValue *keep)
+{
+    uint32_t i, index;
+
+    if (value == NULL) {
+        return;
+    }
+    for (i = 0; i < value->record_count; i++) {
+        if (keep != NULL) {
+            index = find_index(keep, value->records[i]->request_id);
+            if (index < keep->record_count &&
+                keep->records[index] == value->records[i]) {
+                continue;
+            }
+        }
+        talloc_free(value->records[i]);
+    }
+    talloc_free(value);
+}
+
+/* Returns the record of a request id, or NULL. */
+const HrClaimRecord *
+HrClaimValue_Find(const HrClaimValue *value, const char *request_id)
+{
+    uint32_t index = find_index(value, request_id);
+
+    return has_id(value, index, request_id) ? value->records[index] : NULL;
+}
+
+/* Inserts a record or replaces the one with its id. Returns 0 or
+ * HR_ERR_NO_MEMORY. */
+int
+HrClaimValue_Put(HrClaimValue *value, HrClaimRecord *record)
+{
+    uint32_t index = find_index(value, record->request_id);
+    HrClaimRecord **grown;
+
+    if (has_id(value, index, record->request_id)) {
+        value->records[index] = record;
+        return HR_OK;
+    }
+    grown = talloc_realloc(value, value->records, HrClaimRecord *,
+                           value->record_count + 1);
+    if (grown == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    value->records = grown;
+    memmove(&grown[index + 1], &grown[index],
+            (value->record_count - index) * sizeof(HrClaimRecord *));
+    grown[index] = record;
+    value->record_count++;
+    return HR_OK;
+}
+
+/* Takes the record of a request id out of the value; does not free it. */
+void
+HrClaimValue_Remove(HrClaimValue *value, const char *request_id)
+{
+    uint32_t index = find_index(value, request_id);
+
+    if (!has_id(value, index, request_id)) {
+        return;
+    }
+    value->record_count--;
+    memmove(&value->records[index], &value->records[index + 1],
+            (value->record_count - index) * sizeof(HrClaimRecord *));
+}
+
+/* Takes out the records that expired HR_CLAIM_KEEP_MS ago and raises the
+ * watermark. Returns their number. */
+uint32_t
+HrClaimValue_DropExpired(HrClaimValue *value, int64_t wall_ms)
+{
+    uint32_t i, kept = 0, dropped;
+
+    for (i = 0; i < value->record_count; i++) {
+        HrClaimRecord *record = value->records[i];
+
+        if (record->expires_ms > wall_ms - HR_CLAIM_KEEP_MS) {
+            value->records[kept++] = record;
+            continue;
+        }
+        if (record->expires_ms > value->watermark_ms) {
+            value->watermark_ms = record->expires_ms;
+        }
+    }
+    dropped = value->record_count - kept;
+    value->record_count = kept;
+    return dropped;
+}
+
+/* Returns an upper bound of the encoded size of one record. */
+uint32_t
+HrClaimRecord_SizeBound(const HrClaimRecord *record)
+{
+    return RECORD_OVERHEAD_BYTES + (uint32_t)strlen(record->request_id) +
+           record->result_bytes;
+}
+
+/* Returns an upper bound of the encoded size of a value. */
+uint64_t
+HrClaimValue_SizeBound(const HrClaimValue *value)
+{
+    uint64_t bytes = VALUE_OVERHEAD_BYTES;
+    uint32_t i;
+
+    for (i = 0; i < value->record_count; i++) {
+        bytes += HrClaimRecord_SizeBound(value->records[i]);
+    }
+    return bytes;
+}
+
+/* Returns true if two holder ids are the same. */
+bool
+HrClaimHolderId_Equals(const HrClaimHolderId *left,
+                       const HrClaimHolderId *right)
+{
+    return left->daemon_id == right->daemon_id &&
+           left->incarnation == right->incarnation &&
+           left->sequence == right->sequence;
+}
--- a/src/coord-claim.h
+++ b/src/coord-claim.h
@@ -90,7 +90,6 @@
 } HrStoreResult;
 
 typedef struct HrClaimOwnerConfig {
-    uint64_t daemon_id;
     int64_t commit_interval_ns; /* between the starts of two commits */
     int64_t retry_ns;           /* before a failed store call is repeated */
     int64_t refresh_ns;         /* between reads while copies wait */
@@ -141,7 +140,7 @@
             uint64_t call; /* repeated in the result event */
             char key[HR_CLAIM_KEY_BYTES];
             uint64_t cas_revision;     /* PUT; 0: the key must be absent */
-            const HrClaimValue *value; /* PUT; valid until the next Handle */
+            const HrClaimValue *value; /* PUT; valid until its result event */
         } store;
     } u;
 } HrClaimOwnerAction;
