--- a/tools/load.c
+++ b/tools/load.c
@@ -233,7 +233,7 @@
     if (!load->idempotent) {
         json_object_set_new(
             json, "expires_ms",
-            json_integer(HrClock_WallMs(&load->clock) + 60 * 1000));
+            json_integer(HrClock_WallMs(&load->clock) + 60 * INT64_C(1000)));
     }
     text = json_dumps(json, JSON_COMPACT);
     json_decref(json);
