--- a/src/coord-config-internal.h
+++ b/src/coord-config-internal.h
@@ -20,6 +20,9 @@
     bool has_cursor; /* cursor is the key's revision; a watch is possible */
     uint64_t cursor;
     uint64_t request_id;
+    bool seen_valid;        /* the value at cursor parses, or is absent */
+    uint64_t seen_revision; /* of the tables at cursor; 0: absent */
+    uint64_t seen_digest;
     uint64_t held_at_call; /* revision held when the open call began */
     int64_t call_start_ns;
     int64_t call_end_ns;
--- a/src/coord-config-peer.c
+++ b/src/coord-config-peer.c
@@ -230,7 +230,7 @@
     HrConfigPeers *peers = &config->peers;
     uint64_t held = HrConfig_HeldRevision(config);
 
-    if (message->revision <= held ||
+    if (message->u.delta.rows == NULL || message->revision <= held ||
         message->u.delta.rows->revision != message->revision ||
         (!message->u.delta.full && message->u.delta.from_revision > held)) {
         return;
--- a/src/coord-config-store.c
+++ b/src/coord-config-store.c
@@ -59,6 +59,11 @@
         }
     }
     config->store.reader = ahead < config->settings.readers_per_data_centre;
+    if (!config->store.reader && config->alarm != HR_CONFIG_ALARM_FORK) {
+        /* Other daemons watch the store now; a raised alarm would stay. */
+        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE,
+                          HrConfig_HeldRevision(config), "");
+    }
 }
 
 /* Returns true if this daemon reads the store: as a reader, or because no
@@ -127,41 +132,44 @@
     store->next_call_ns = store->call_start_ns + CALL_SPACING_NS;
 }
 
-/* Compares a value of the revision held. */
-static void
-compare_equal(HrConfig *config, const HrTables *found)
-{
-    if (found->digest != config->tables->digest) {
-        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_FORK, found->revision,
-                          "the store");
-        return;
-    }
-    HrConfig_Confirm(config, config->now_ns);
-    HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, found->revision, "");
-}
-
-/* Takes tables that were read; only newer ones are put in force. */
+/* Compares what the store holds, as seen last, with the tables held. A lower
+ * revision counts only if the tables were held when the call began: newer ones
+ * may have come from a peer while the call was under way. */
 static void
-take_tables(HrConfig *config, HrTables *found)
+judge_seen(HrConfig *config)
 {
+    const HrConfigStore *store = &config->store;
     uint64_t held = HrConfig_HeldRevision(config);
 
-    if (found->revision > held) {
-        HrConfig_Adopt(config, found, config->now_ns);
-        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, found->revision, "");
+    if (store->seen_revision < store->held_at_call) {
+        HrConfig_SetAlarm(config,
+                          store->seen_revision == 0
+                              ? HR_CONFIG_ALARM_STORE_EMPTY
+                              : HR_CONFIG_ALARM_STORE_OLDER,
+                          store->seen_revision, "");
+    }
+    else if (held == 0 || store->seen_revision != held) {
         return;
     }
-    if (found->revision == held) {
-        compare_equal(config, found);
+    else if (store->seen_digest != config->tables->digest) {
+        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_FORK, held, "the store");
     }
-    else if (found->revision < config->store.held_at_call) {
-        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_STORE_OLDER, found->revision,
-                          "");
+    else {
+        HrConfig_Confirm(config, config->now_ns);
+        HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, held, "");
     }
-    talloc_free(found);
 }
 
-/* Takes a value. */
+/* Records what the store holds; found is NULL for no value. */
+static void
+note_seen(HrConfig *config, const HrTables *found)
+{
+    config->store.seen_valid = true;
+    config->store.seen_revision = found == NULL ? 0 : found->revision;
+    config->store.seen_digest = found == NULL ? 0 : found->digest;
+}
+
+/* Takes a value; only newer tables are put in force. */
 static void
 handle_value(HrConfig *config, const HrBytes *value)
 {
@@ -169,17 +177,22 @@
     HrTables *found = HrTables_FromJson(config, (const char *)value->data,
                                         value->length_bytes, "store", &err);
 
-    if (found != NULL && found->revision == 0) {
-        HrError_Set(&err, HR_ERR_INVALID, "field \"revision\" is missing");
+    if (found == NULL || found->revision == 0) {
         talloc_free(found);
-        found = NULL;
-    }
-    if (found == NULL) {
+        config->store.seen_valid = false;
         HrConfig_SetAlarm(config, HR_CONFIG_ALARM_STORE_INVALID, 0,
-                          err.message);
+                          found == NULL ? err.message
+                                        : "field \"revision\" is missing");
         return;
     }
-    take_tables(config, found);
+    note_seen(config, found);
+    if (found->revision > HrConfig_HeldRevision(config)) {
+        HrConfig_Adopt(config, found, config->now_ns);
+    }
+    else {
+        talloc_free(found);
+    }
+    judge_seen(config);
 }
 
 /* Takes the end of a call; replies to calls given up are ignored. */
@@ -198,17 +211,13 @@
         break;
     case HR_STORE_ABSENT:
         finish_call(config, 0);
-        if (store->held_at_call > 0) {
-            HrConfig_SetAlarm(config, HR_CONFIG_ALARM_STORE_EMPTY, 0, "");
-        }
+        note_seen(config, NULL);
+        judge_seen(config);
         break;
     case HR_STORE_SAME:
         finish_call(config, store->cursor);
-        /* Without an alarm the watched value is the one in force, unless a
-         * newer one has just come from a peer. */
-        if (config->alarm == HR_CONFIG_ALARM_NONE && store->cursor != 0 &&
-            store->held_at_call == HrConfig_HeldRevision(config)) {
-            HrConfig_Confirm(config, config->now_ns);
+        if (store->seen_valid) {
+            judge_seen(config);
         }
         break;
     default:
--- a/src/coord-config.c
+++ b/src/coord-config.c
@@ -95,26 +95,6 @@
     }
 }
 
-/* Puts newer tables in force, which the module owns from now on, and tells
- * peers. confirmed_ns is when the store was known to hold them. */
-void
-HrConfig_Adopt(HrConfig *config, HrTables *tables, int64_t confirmed_ns)
-{
-    HrConfigQueued *queued = HrConfig_Queue(config, HR_CONFIG_ACTION_PUBLISH);
-
-    if (queued == NULL) {
-        talloc_free(tables);
-        return;
-    }
-    queued->action.u.publish.tables = HrTables_Copy(queued, tables);
-    talloc_free(config->tables);
-    config->tables = talloc_steal(config, tables);
-    config->confirmed_ns = confirmed_ns;
-    note_revision(config, tables->revision);
-    HrCounters_Add(config->settings.counters, HR_COUNTER_config_revisions, 1);
-    HrConfigPeers_SendHints(config);
-}
-
 /* Writes what was found and the remedy. */
 static void
 describe_alarm(HrError *err, HrConfigAlarm alarm, uint64_t held,
@@ -179,6 +159,29 @@
     }
 }
 
+/* Puts newer tables in force, which the module owns from now on, and tells
+ * peers. confirmed_ns is when the store was known to hold them. */
+void
+HrConfig_Adopt(HrConfig *config, HrTables *tables, int64_t confirmed_ns)
+{
+    HrConfigQueued *queued = HrConfig_Queue(config, HR_CONFIG_ACTION_PUBLISH);
+
+    if (queued == NULL) {
+        talloc_free(tables);
+        return;
+    }
+    queued->action.u.publish.tables = HrTables_Copy(queued, tables);
+    talloc_free(config->tables);
+    config->tables = talloc_steal(config, tables);
+    config->confirmed_ns = confirmed_ns;
+    note_revision(config, tables->revision);
+    /* A newer revision means that somebody wrote to the store. A reader finds
+     * out within one watch whether the store is still behind. */
+    HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, tables->revision, "");
+    HrCounters_Add(config->settings.counters, HR_COUNTER_config_revisions, 1);
+    HrConfigPeers_SendHints(config);
+}
+
 /* Takes the tables of an edit that this daemon made. */
 static void
 handle_local_tables(HrConfig *config, const HrTables *tables)
@@ -193,7 +196,6 @@
         return;
     }
     HrConfig_Adopt(config, copy, config->now_ns);
-    HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE, tables->revision, "");
 }
 
 /* Frees the action that was popped last. */
--- a/src/state-tables-fields.c
+++ b/src/state-tables-fields.c
@@ -1,6 +1,7 @@
 #include "state-tables-fields.h"
 
 #include <arpa/inet.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -201,10 +202,16 @@
     return inet_pton(AF_INET, host, &parsed) == 1;
 }
 
-/* Returns true if no byte is a control character. */
+/* Returns true for UTF-8 without control characters. */
 static bool
 is_printable(const char *text)
 {
+    json_t *string = json_string(text); /* NULL for invalid UTF-8 */
+
+    json_decref(string);
+    if (string == NULL) {
+        return false;
+    }
     for (; *text != '\0'; text++) {
         if ((unsigned char)*text < 0x20 || *text == 0x7f) {
             return false;
@@ -237,7 +244,9 @@
                                 : "use a numeric IP address and a port, such "
                                   "as 10.1.2.3:8000 or [fd00::1]:8000";
     default:
-        return is_printable(text) ? NULL : "remove the control characters";
+        return is_printable(text) ? NULL
+                                  : "use UTF-8 without control "
+                                    "characters";
     }
 }
 
