--- a/src/trans-loop.c
+++ b/src/trans-loop.c
@@ -39,6 +39,9 @@
     uint32_t capacity;
     bool stopped;
     bool any_removed;
+    HrLoopTimerFn *after_wait;
+    HrLoopTimerFn *before_wait;
+    void *hook_arg;
 };
 
 /* Orders timers by time, then by the order of arming. */
@@ -287,6 +290,16 @@
     }
 }
 
+/* Sets functions that are called after each wait and before the next one. */
+void
+HrLoop_SetHooks(HrLoop *loop, HrLoopTimerFn *after_wait,
+                HrLoopTimerFn *before_wait, void *arg)
+{
+    loop->after_wait = after_wait;
+    loop->before_wait = before_wait;
+    loop->hook_arg = arg;
+}
+
 /* Waits for events for at most max_wait_ns and handles them once. */
 int
 HrLoop_RunOnce(HrLoop *loop, int64_t max_wait_ns)
@@ -304,10 +317,16 @@
     if (ready < 0 && errno != EINTR) {
         return HR_ERR_IO;
     }
+    if (loop->after_wait != NULL) {
+        loop->after_wait(loop->hook_arg);
+    }
     if (ready > 0) {
         handle_descriptors(loop, count);
     }
     fire_timers(loop);
+    if (loop->before_wait != NULL) {
+        loop->before_wait(loop->hook_arg);
+    }
     return HR_OK;
 }
 
--- a/src/trans-loop.h
+++ b/src/trans-loop.h
@@ -49,6 +49,10 @@
 /* Removes a timer; NULL is ignored. */
 void HrLoop_RemoveTimer(HrLoop *loop, HrLoopTimer *timer);
 
+/* Sets functions that are called after each wait and before the next one. */
+void HrLoop_SetHooks(HrLoop *loop, HrLoopTimerFn *after_wait,
+                     HrLoopTimerFn *before_wait, void *arg);
+
 /* Waits for events for at most max_wait_ns and handles them once. */
 int HrLoop_RunOnce(HrLoop *loop, int64_t max_wait_ns);
 
