--- /dev/null
+++ b/bench/bench-gather.c
@@ -0,0 +1,204 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "coord-gather.h"
+
+#define SUB_REQUESTS 1000000
+#define PAYLOAD_BYTES 1024
+#define MAX_SHARDS 1000
+#define ROUNDS 5
+
+/* Everything that the queries of one size share. */
+typedef struct Bench {
+    HrGatherConfig config;
+    HrRoute route;
+    HrIndexMap *map;
+    HrIndexMapSet maps;
+    HrGatherSend sends[MAX_SHARDS];
+    uint8_t payload[PAYLOAD_BYTES];
+} Bench;
+
+/* Returns the processor time of this thread. */
+static int64_t
+cpu_ns(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return HrTime_ToNs(now);
+}
+
+/* Builds a map whose shards divide the hashes evenly. */
+static void
+build_map(Bench *bench, uint32_t shard_count)
+{
+    HrIndexMap *map = talloc_zero(bench, HrIndexMap);
+    uint64_t step = UINT64_MAX / shard_count;
+    uint32_t i;
+
+    map->pool = "pool";
+    map->version = 1;
+    map->shard_count = shard_count;
+    map->shards = talloc_zero_array(map, HrShard, shard_count);
+    for (i = 0; i < shard_count; i++) {
+        map->shards[i].name = talloc_asprintf(map, "shard-%04u", i);
+        map->shards[i].group = talloc_asprintf(map, "service-%03u", i / 3);
+        map->shards[i].key_from = i * step;
+        map->shards[i].key_to =
+            i + 1 == shard_count ? UINT64_MAX : (i + 1) * step - 1;
+    }
+    bench->map = map;
+    bench->maps.maps = &bench->map;
+    bench->maps.map_count = 1;
+}
+
+/* Pops every action; keeps the requests. Returns the number of requests. */
+static uint32_t
+pop_actions(Bench *bench, HrGather *gather, bool *finished)
+{
+    HrGatherAction action;
+    uint32_t count = 0;
+
+    while (HrGather_Next(gather, &action)) {
+        if (action.kind == HR_GATHER_SEND) {
+            bench->sends[count++] = action.u.send;
+        }
+        *finished = *finished || action.kind == HR_GATHER_FINISH;
+    }
+    return count;
+}
+
+/* Hands the answer of one request to the gather. */
+static void
+answer_request(Bench *bench, HrGather *gather, const HrGatherSend *send)
+{
+    HrSubAnswer answer = {
+        .query = send->request.query,
+        .sub_id = send->request.sub_id,
+        .shard = send->request.shard,
+        .version = send->request.version,
+        .server = "10.0.0.1:8000",
+        .payload = {bench->payload, PAYLOAD_BYTES},
+    };
+    HrGatherEvent event = {
+        .kind = HR_GATHER_SUB_ANSWER,
+        .now_ns = HR_NS_PER_MS,
+        .u.answer = &answer,
+    };
+
+    HrGather_Handle(gather, &event);
+}
+
+/* Runs one query. Returns the memory that it held at its end. */
+static size_t
+run_query(Bench *bench, uint64_t counter)
+{
+    HrQueryId query = {1, 1, counter};
+    HrGather *gather = HrGather_Create(NULL, &bench->config, &query);
+    HrGatherEvent event = {
+        .kind = HR_GATHER_START,
+        .u.start = {.route = &bench->route,
+                    .maps = &bench->maps,
+                    .payload = {(const uint8_t *)"{}", 2},
+                    .deadline_ns = HR_NS_PER_S},
+    };
+    bool finished = false;
+    uint32_t i, count;
+    size_t bytes;
+
+    HrGather_Handle(gather, &event);
+    count = pop_actions(bench, gather, &finished);
+    for (i = 0; i < count; i++) {
+        answer_request(bench, gather, &bench->sends[i]);
+    }
+    pop_actions(bench, gather, &finished);
+    if (!finished) {
+        fprintf(stderr, "the query did not finish\n");
+        exit(1);
+    }
+    bytes = talloc_total_size(gather);
+    talloc_free(gather);
+    return bytes;
+}
+
+/* Handles the same answers without checks: one allocation and one copy per
+ * payload. This is the least that any gather does. */
+static void
+run_copy_only(Bench *bench, uint32_t shard_count)
+{
+    void *parent = talloc_new(NULL);
+    uint32_t i;
+
+    for (i = 0; i < shard_count; i++) {
+        talloc_memdup(parent, bench->payload, PAYLOAD_BYTES);
+    }
+    talloc_free(parent);
+}
+
+/* Returns the least processor time per sub-request of several rounds. */
+static double
+measure_ns(Bench *bench, uint32_t shard_count, bool copy_only, size_t *bytes)
+{
+    uint64_t queries = SUB_REQUESTS / ROUNDS / shard_count + 1, i;
+    double best = 0;
+    int round;
+
+    for (round = 0; round < ROUNDS; round++) {
+        int64_t start_ns = cpu_ns();
+        double cost;
+
+        for (i = 0; i < queries; i++) {
+            if (copy_only) {
+                run_copy_only(bench, shard_count);
+            }
+            else {
+                *bytes = run_query(bench, i);
+            }
+        }
+        cost = (double)(cpu_ns() - start_ns) / (double)(queries * shard_count);
+        if (round == 0 || cost < best) {
+            best = cost;
+        }
+    }
+    return best;
+}
+
+/* Measures queries of one size. */
+static void
+measure_size(uint32_t shard_count)
+{
+    Bench *bench = talloc_zero(NULL, Bench);
+    size_t bytes = 0;
+    double gather_ns, copy_ns;
+
+    bench->config = HrGatherConfig_Default();
+    bench->route.pool = "pool";
+    bench->route.idempotent = true;
+    build_map(bench, shard_count);
+    copy_ns = measure_ns(bench, shard_count, true, &bytes);
+    gather_ns = measure_ns(bench, shard_count, false, &bytes);
+    printf("{\"name\":\"gather_cpu_per_sub_request_%u_shards\","
+           "\"unit\":\"ns\",\"value\":%.1f,\"baseline\":%.1f,\"seed\":0}\n",
+           shard_count, gather_ns, copy_ns);
+    printf("{\"name\":\"gather_memory_per_query_%u_shards\","
+           "\"unit\":\"bytes\",\"value\":%zu,\"baseline\":%zu,\"seed\":0}\n",
+           shard_count, bytes, (size_t)shard_count * PAYLOAD_BYTES);
+    talloc_free(bench);
+}
+
+/* Prints processor time and memory of the gather. The baselines are the copy
+ * of each payload and the payload bytes alone. */
+int
+main(void)
+{
+    static const uint32_t sizes[] = {1, 10, 30, 71, 100, 300, 1000};
+    size_t i;
+
+    for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+        measure_size(sizes[i]);
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/proto-caller-answer.c
@@ -0,0 +1,292 @@
+#include "proto-caller.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "proto-fields.h"
+
+/* 10 minutes of deadline, and the delay of a paused process. */
+#define MAX_TIME_US INT64_C(86400000000)
+#define MAX_EVENTS_PER_QUERY UINT32_MAX
+
+/* Returns a duration since the start of the query in microseconds. */
+static json_int_t
+elapsed_us(int64_t from_ns, int64_t to_ns)
+{
+    return to_ns <= from_ns ? 0 : (to_ns - from_ns) / HR_NS_PER_US;
+}
+
+/* Appends a shard that contributed. */
+static void
+append_part(HrJsonText *text, const HrShardPart *part)
+{
+    HrJsonText_AppendOpenObject(
+        text, json_pack("{s:s,s:s,s:s*,s:I}", "shard", part->shard, "group",
+                        part->group, "server", part->server, "latency_us",
+                        elapsed_us(0, part->latency_ns)));
+    HrJsonText_AppendRaw(text, ",\"payload\":");
+    HrJsonText_Append(text, part->payload.data, part->payload.length_bytes);
+    HrJsonText_AppendRaw(text, "}");
+}
+
+/* Appends a shard that did not contribute. */
+static void
+append_gap(HrJsonText *text, const HrShardGap *gap)
+{
+    HrJsonText_AppendValue(
+        text, json_pack("{s:s,s:s,s:s}", "shard", gap->shard, "group",
+                        gap->group, "reason", HrReason_Name(gap->reason)));
+}
+
+/* Returns the fields of an answer, except its shards. */
+static json_t *
+pack_head(const char *request_id, const HrGatherAnswer *answer)
+{
+    json_t *head = json_pack(
+        "{s:s,s:s,s:b,s:I,s:I,s:I,s:I,s:I,s:I}", "request_id", request_id,
+        "status", HrStatus_Name(answer->status), "not_run", answer->not_run,
+        "version", (json_int_t)answer->version, "restarts",
+        (json_int_t)answer->restarts, "failovers",
+        (json_int_t)answer->failovers, "total_us",
+        elapsed_us(answer->started_ns, answer->finished_ns), "first_part_us",
+        elapsed_us(answer->started_ns, answer->first_part_ns), "last_part_us",
+        elapsed_us(answer->started_ns, answer->last_part_ns));
+
+    if (answer->reason != HR_REASON_NONE) {
+        json_object_set_new(head, "reason",
+                            json_string(HrReason_Name(answer->reason)));
+    }
+    return head;
+}
+
+/* Encodes the answer of a gather as a talloc child of parent; NULL when memory
+ * runs out. */
+char *
+HrCallerAnswer_Encode(const void *parent, const char *request_id,
+                      const HrGatherAnswer *answer)
+{
+    HrJsonText text = {.parent = parent};
+    uint32_t i;
+
+    HrJsonText_AppendOpenObject(&text, pack_head(request_id, answer));
+    HrJsonText_AppendRaw(&text, ",\"parts\":[");
+    for (i = 0; i < answer->part_count; i++) {
+        HrJsonText_AppendRaw(&text, i == 0 ? "" : ",");
+        append_part(&text, &answer->parts[i]);
+    }
+    HrJsonText_AppendRaw(&text, "],\"missing\":[");
+    for (i = 0; i < answer->gap_count; i++) {
+        HrJsonText_AppendRaw(&text, i == 0 ? "" : ",");
+        append_gap(&text, &answer->gaps[i]);
+    }
+    HrJsonText_AppendRaw(&text, "]}");
+    return HrJsonText_Finish(&text);
+}
+
+/* Reads a status. */
+static HrStatus
+read_status(HrFields *fields)
+{
+    const char *name =
+        HrFields_String(fields, "status", true, HR_CALLER_NAME_MAX_BYTES);
+    int status;
+
+    for (status = 0; name != NULL && status <= HR_STATUS_UNKNOWN; status++) {
+        if (strcmp(name, HrStatus_Name((HrStatus)status)) == 0) {
+            return (HrStatus)status;
+        }
+    }
+    HrFields_Fail(fields, HR_ERR_RANGE,
+                  "%s field status is %.64s; check the daemon's version",
+                  fields->what, name == NULL ? "" : name);
+    return HR_STATUS_UNKNOWN;
+}
+
+/* Reads a reason; NONE when it is absent and not required. */
+static HrReason
+read_reason(HrFields *fields, bool required)
+{
+    const char *name =
+        HrFields_String(fields, "reason", required, HR_CALLER_NAME_MAX_BYTES);
+    HrReason reason = name == NULL ? HR_REASON_NONE : HrReason_Parse(name);
+
+    if (name != NULL && reason == HR_REASON_NONE) {
+        HrFields_Fail(fields, HR_ERR_RANGE,
+                      "%s field reason is %.64s; check the daemon's version",
+                      fields->what, name);
+    }
+    return reason;
+}
+
+/* Reads a name and copies it. */
+static const char *
+copy_name(HrFields *fields, const void *parent, const char *name,
+          bool required)
+{
+    const char *text =
+        HrFields_String(fields, name, required, HR_CALLER_NAME_MAX_BYTES);
+    const char *copy = text == NULL ? NULL : talloc_strdup(parent, text);
+
+    if (text != NULL && copy == NULL) {
+        HrFields_Fail(fields, HR_ERR_NO_MEMORY,
+                      "no memory for an answer; ask for fewer shards");
+    }
+    return copy;
+}
+
+/* Reads a shard that contributed. */
+static int
+read_part(const void *parent, const json_t *value, HrShardPart *part,
+          HrError *err)
+{
+    HrJsonText text = {.parent = parent};
+    HrFields fields;
+    const json_t *payload;
+
+    HrFields_Open(&fields, value, "answer part", err);
+    part->shard = copy_name(&fields, parent, "shard", true);
+    part->group = copy_name(&fields, parent, "group", true);
+    part->server = copy_name(&fields, parent, "server", false);
+    part->latency_ns =
+        HR_NS_PER_US *
+        HrFields_Integer(&fields, "latency_us", true, 0, MAX_TIME_US, 0);
+    payload = HrFields_Any(&fields, "payload");
+    if (payload != NULL) {
+        HrJsonText_AppendValue(&text, json_incref((json_t *)payload));
+        part->payload.data = (const uint8_t *)HrJsonText_Finish(&text);
+        part->payload.length_bytes = text.length_bytes;
+        if (part->payload.data == NULL) {
+            HrFields_Fail(&fields, HR_ERR_NO_MEMORY,
+                          "no memory for an answer; ask for fewer shards");
+        }
+    }
+    return HrFields_Close(&fields);
+}
+
+/* Reads a shard that did not contribute. */
+static int
+read_gap(const void *parent, const json_t *value, HrShardGap *gap,
+         HrError *err)
+{
+    HrFields fields;
+
+    HrFields_Open(&fields, value, "answer gap", err);
+    gap->shard = copy_name(&fields, parent, "shard", true);
+    gap->group = copy_name(&fields, parent, "group", true);
+    gap->reason = read_reason(&fields, true);
+    return HrFields_Close(&fields);
+}
+
+/* Reads the shards of an answer. */
+static int
+read_shards(HrCallerAnswer *answer, const json_t *parts, const json_t *gaps,
+            HrError *err)
+{
+    HrGatherAnswer *gather = &answer->gather;
+    uint32_t i;
+    int rc = HR_OK;
+
+    gather->part_count = (uint32_t)json_array_size(parts);
+    gather->gap_count = (uint32_t)json_array_size(gaps);
+    gather->parts = talloc_zero_array(answer, HrShardPart, gather->part_count);
+    gather->gaps = talloc_zero_array(answer, HrShardGap, gather->gap_count);
+    if (gather->parts == NULL || gather->gaps == NULL) {
+        return HrError_Set(err, HR_ERR_NO_MEMORY,
+                           "no memory for an answer; ask for fewer shards");
+    }
+    for (i = 0; i < gather->part_count && rc == HR_OK; i++) {
+        rc = read_part(answer, json_array_get(parts, i), &gather->parts[i],
+                       err);
+    }
+    for (i = 0; i < gather->gap_count && rc == HR_OK; i++) {
+        rc = read_gap(answer, json_array_get(gaps, i), &gather->gaps[i], err);
+    }
+    return rc;
+}
+
+/* Reads a time since the start. */
+static int64_t
+read_time_ns(HrFields *fields, const char *name)
+{
+    return HR_NS_PER_US *
+           HrFields_Integer(fields, name, true, 0, MAX_TIME_US, 0);
+}
+
+/* Checks that the status agrees with the shards. */
+static void
+check_status(HrFields *fields, const HrGatherAnswer *gather, size_t parts,
+             size_t gaps)
+{
+    bool whole = parts > 0 && gaps == 0;
+
+    if ((gather->status == HR_STATUS_COMPLETE && !whole) ||
+        (gather->status == HR_STATUS_PARTIAL && gaps == 0) ||
+        (gather->not_run &&
+         (gather->status != HR_STATUS_REFUSED || parts > 0))) {
+        HrFields_Fail(fields, HR_ERR_PROTOCOL,
+                      "%s status disagrees with its shards; check the "
+                      "daemon's version",
+                      fields->what);
+    }
+}
+
+/* Reads the fields of an answer. */
+static int
+read_answer(const json_t *object, HrCallerAnswer *answer, HrError *err)
+{
+    HrGatherAnswer *gather = &answer->gather;
+    const json_t *parts, *gaps;
+    HrFields fields;
+    int rc;
+
+    HrFields_Open(&fields, object, "answer", err);
+    answer->request_id = copy_name(&fields, answer, "request_id", true);
+    gather->status = read_status(&fields);
+    gather->not_run = HrFields_Bool(&fields, "not_run", true, false);
+    gather->reason = read_reason(&fields, false);
+    gather->version =
+        (uint64_t)HrFields_Integer(&fields, "version", true, 0, INT64_MAX, 0);
+    gather->restarts = (uint32_t)HrFields_Integer(&fields, "restarts", true, 0,
+                                                  MAX_EVENTS_PER_QUERY, 0);
+    gather->failovers = (uint32_t)HrFields_Integer(&fields, "failovers", true,
+                                                   0, MAX_EVENTS_PER_QUERY, 0);
+    gather->finished_ns = read_time_ns(&fields, "total_us");
+    gather->first_part_ns = read_time_ns(&fields, "first_part_us");
+    gather->last_part_ns = read_time_ns(&fields, "last_part_us");
+    parts = HrFields_Array(&fields, "parts", HR_GATHER_MAX_SHARDS);
+    gaps = HrFields_Array(&fields, "missing", HR_GATHER_MAX_SHARDS);
+    check_status(&fields, gather, json_array_size(parts),
+                 json_array_size(gaps));
+    rc = HrFields_Close(&fields);
+    return rc == HR_OK ? read_shards(answer, parts, gaps, err) : rc;
+}
+
+/* Decodes an answer, which becomes a talloc child of parent. */
+int
+HrCallerAnswer_Decode(const void *parent, const char *text,
+                      size_t length_bytes, HrCallerAnswer **answer,
+                      HrError *err)
+{
+    json_t *object = NULL;
+    int rc;
+
+    *answer = NULL;
+    rc = HrJson_Load(text, length_bytes, HR_CALLER_ANSWER_MAX_BYTES, "answer",
+                     &object, err);
+    if (rc != HR_OK) {
+        return rc;
+    }
+    *answer = talloc_zero(parent, HrCallerAnswer);
+    if (*answer == NULL) {
+        json_decref(object);
+        return HrError_Set(err, HR_ERR_NO_MEMORY,
+                           "no memory for an answer; ask for fewer shards");
+    }
+    rc = read_answer(object, *answer, err);
+    json_decref(object);
+    if (rc != HR_OK) {
+        talloc_free(*answer);
+        *answer = NULL;
+    }
+    return rc;
+}
--- a/tests/common-gather-world.c
+++ b/tests/common-gather-world.c
@@ -162,11 +162,14 @@
                 uint32_t map_count)
 {
     HrIndexMapSet *set = talloc_zero(parent, HrIndexMapSet);
+    uint32_t i;
 
     set->revision = revision;
     set->map_count = map_count;
     set->maps = talloc_array(set, HrIndexMap *, map_count);
-    memcpy(set->maps, maps, map_count * sizeof(*maps));
+    for (i = 0; i < map_count; i++) {
+        set->maps[i] = maps[i];
+    }
     return set;
 }
 
