--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -14,3 +14,9 @@
 HR_COUNTER(sub_answers_dropped, answers,
            "answers that matched no open attempt")
 HR_COUNTER(log_events_suppressed, events, "log events left out by the limit")
+HR_COUNTER(sub_requests_shed, answers,
+           "attempts that a server shed or refused at its connection cap")
+HR_COUNTER(connections_silent, connections,
+           "connections given up because no answer came in time")
+HR_COUNTER(slots_expired, slots,
+           "slots freed at a deadline because the end was never confirmed")
--- a/src/coord-admit.c
+++ b/src/coord-admit.c
@@ -393,6 +393,20 @@
     return HrTimerSet_Next(&admit->timers);
 }
 
+/* Returns the number of entries that occupy a place. */
+uint32_t
+HrAdmit_Running(const HrAdmit *admit)
+{
+    return admit->running;
+}
+
+/* Returns the number of entries that wait. */
+uint32_t
+HrAdmit_Waiting(const HrAdmit *admit)
+{
+    return admit->queue.waiting;
+}
+
 /* Fills the figures. */
 void
 HrAdmit_GetStats(const HrAdmit *admit, HrAdmitStats *stats)
--- a/src/coord-admit.h
+++ b/src/coord-admit.h
@@ -106,6 +106,12 @@
 /* Returns when a timer event is next needed; HR_TIME_NEVER: not at all. */
 int64_t HrAdmit_NextTimer(const HrAdmit *admit);
 
+/* Returns the number of entries that occupy a place. */
+uint32_t HrAdmit_Running(const HrAdmit *admit);
+
+/* Returns the number of entries that wait. */
+uint32_t HrAdmit_Waiting(const HrAdmit *admit);
+
 /* Fills the figures. */
 void HrAdmit_GetStats(const HrAdmit *admit, HrAdmitStats *stats);
 
--- a/src/coord-sched.h
+++ b/src/coord-sched.h
@@ -22,6 +22,9 @@
  * HR_SCHED_BACKEND_ANSWER or HR_SCHED_ATTEMPT_FAILED, also after
  * HR_SCHED_CANCEL_ATTEMPT, which has one HR_SCHED_CANCEL_RESULT besides.
  *
+ * Timers: after a pause of the VM, hand over the answers that have arrived
+ * before the timer event, or they count as late.
+ *
  * Connections: one attempt occupies one connection. One connection of the
  * daemon's share is left to the daemon for cancels and status polls. */
 typedef struct HrSched HrSched;
