--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -53,3 +53,9 @@
            "times this process was found to have been paused")
 HR_COUNTER(members_refused, members,
            "member updates refused as malformed or over the limit")
+HR_COUNTER(sub_requests_shed, answers,
+           "attempts that a server shed or refused at its connection cap")
+HR_COUNTER(connections_silent, connections,
+           "connections given up because no answer came in time")
+HR_COUNTER(slots_expired, slots,
+           "slots freed at a deadline because the end was never confirmed")
