--- a/src/coord-claim-holder.c
+++ b/src/coord-claim-holder.c
@@ -81,8 +81,11 @@
     return compare_sequence(left, right);
 }
 
-RB_GENERATE_STATIC(SequenceTree, Entry, by_sequence, compare_sequence)
-RB_GENERATE_STATIC(DueTree, Entry, by_due, compare_due)
+/* RB_GENERATE_STATIC needs a BSD macro that the C library lacks. */
+#define UNUSED_STATIC __attribute__((unused)) static
+RB_GENERATE_INTERNAL(SequenceTree, Entry, by_sequence, compare_sequence,
+                     UNUSED_STATIC)
+RB_GENERATE_INTERNAL(DueTree, Entry, by_due, compare_due, UNUSED_STATIC)
 
 /* Returns an empty queued action. */
 static HrClaimHolderAction *
--- a/src/coord-claim-owner.c
+++ b/src/coord-claim-owner.c
@@ -1,72 +1,14 @@
-#include <bsd/sys/queue.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
 
-#include "coord-claim-value.h"
-
-/* Where an ask or outcome stands. */
-typedef enum OpPhase {
-    OP_PENDING,  /* to be evaluated against the committed value */
-    OP_WAITING,  /* another copy holds the claim */
-    OP_IN_BATCH, /* its change is part of the proposed value */
-} OpPhase;
-
-/* An ask or outcome that is not answered yet. */
-typedef struct Op {
-    TAILQ_ENTRY(Op) link;
-    HrClaimMessage message;
-    int64_t arrived_ns;
-    int64_t deadline_ns; /* the holder has given up by then */
-    OpPhase phase;
-    bool maybe_written; /* part of a write with an unknown outcome */
-} Op;
-
-/* What the committed value says about an op. */
-typedef enum Finding {
-    FINDING_ANSWERED, /* a reply was sent */
-    FINDING_WAIT,     /* another copy holds the claim */
-    FINDING_READ,     /* only a newer read of the store can tell */
-    FINDING_CHANGE,   /* the value must change first */
-} Finding;
-
-/* One partition, as far as this daemon has worked on it. */
-typedef struct Partition {
-    uint32_t index;
-    HrClaimValue *committed; /* NULL: must be read */
-    HrClaimValue *proposed;  /* while a PUT is in flight */
-    uint64_t revision;
-    int64_t confirmed_ns; /* committed includes every write before it */
-    uint64_t call;        /* in flight; 0: none */
-    int64_t call_began_ns;
-    int64_t commit_began_ns;
-    int64_t retry_at_ns;
-    int64_t used_ns;
-    int64_t wake_ns;
-    TAILQ_HEAD(OpList, Op) ops;
-} Partition;
-
-/* A queued action. */
-typedef struct OwnerAction {
-    STAILQ_ENTRY(OwnerAction) link;
-    HrClaimOwnerAction action;
-} OwnerAction;
-
-struct HrClaimOwner {
-    HrClaimOwnerConfig config;
-    HrRng rng;
-    uint64_t last_call;
-    uint32_t op_count;
-    HrClaimMessage unsent; /* written instead of one without memory */
-    Partition partitions[HR_CLAIM_PARTITIONS];
-    STAILQ_HEAD(, OwnerAction) actions;
-};
+#include "coord-claim-partition.h"
 
 /* Returns an empty queued action; NULL when memory is short. */
-static HrClaimOwnerAction *
-push_action(HrClaimOwner *owner, HrClaimOwnerActionKind kind)
+HrClaimOwnerAction *
+HrClaimOwner_Push(HrClaimOwner *owner, HrClaimOwnerActionKind kind)
 {
-    OwnerAction *entry = talloc_zero(owner, OwnerAction);
+    HrClaimQueued *entry = talloc_zero(owner, HrClaimQueued);
 
     if (entry == NULL) {
         return NULL;
@@ -76,258 +18,36 @@
     return &entry->action;
 }
 
-/* Returns a queued message to the holder of an ask or outcome. A message that
- * cannot be allocated counts as lost: the holder asks again. */
-static HrClaimMessage *
-push_message(HrClaimOwner *owner, const HrClaimMessage *about,
-             HrClaimMessageKind kind)
-{
-    HrClaimOwnerAction *action =
-        push_action(owner, HR_CLAIM_OWNER_ACTION_SEND);
-    HrClaimMessage *message;
-
-    if (action == NULL) {
-        return &owner->unsent;
-    }
-    action->u.send.daemon_id = about->holder.daemon_id;
-    message = &action->u.send.message;
-    message->kind = kind;
-    message->holder = about->holder;
-    memcpy(message->request_id, about->request_id,
-           sizeof(message->request_id));
-    message->expires_ms = about->expires_ms;
-    return message;
-}
-
-/* Answers an ask with a verdict without a result. */
-static Finding
-reply_verdict(HrClaimOwner *owner, const HrClaimMessage *ask,
-              HrClaimVerdict verdict)
-{
-    push_message(owner, ask, HR_CLAIM_MESSAGE_REPLY)->verdict = verdict;
-    return FINDING_ANSWERED;
-}
-
-/* Refuses an ask. */
-static Finding
-reply_refused(HrClaimOwner *owner, const HrClaimMessage *ask, HrReason reason,
-              bool not_run)
-{
-    HrClaimMessage *reply = push_message(owner, ask, HR_CLAIM_MESSAGE_REPLY);
-
-    reply->verdict = HR_CLAIM_VERDICT_REFUSED;
-    reply->reason = reason;
-    reply->not_run = not_run;
-    return FINDING_ANSWERED;
-}
-
-/* Answers an ask with the outcome that another copy had. */
-static Finding
-reply_recorded(HrClaimOwner *owner, const HrClaimMessage *ask,
-               const HrClaimRecord *record)
-{
-    HrClaimMessage *reply = push_message(owner, ask, HR_CLAIM_MESSAGE_REPLY);
-
-    reply->verdict = HR_CLAIM_VERDICT_RECORDED;
-    reply->state = record->state;
-    reply->result_bytes = record->result_bytes;
-    memcpy(reply->result, record->result, record->result_bytes);
-    return FINDING_ANSWERED;
-}
-
-/* Confirms an outcome. */
-static Finding
-reply_ack(HrClaimOwner *owner, const HrClaimMessage *outcome)
-{
-    push_message(owner, outcome, HR_CLAIM_MESSAGE_OUTCOME_ACK)->state =
-        outcome->state;
-    return FINDING_ANSWERED;
-}
-
 /* Removes an op that is answered or abandoned. */
 static void
-remove_op(HrClaimOwner *owner, Partition *partition, Op *op)
+remove_op(HrClaimOwner *owner, HrClaimPartition *partition, HrClaimOp *op)
 {
     TAILQ_REMOVE(&partition->ops, op, link);
     owner->op_count--;
     talloc_free(op);
 }
 
-/* Evaluates an ask whose id has a record. */
-static Finding
-evaluate_recorded_ask(HrClaimOwner *owner, const HrClaimMessage *ask,
-                      const HrClaimRecord *record)
-{
-    if (record->state != HR_CLAIM_HELD) {
-        return reply_recorded(owner, ask, record);
-    }
-    if (HrClaimHolderId_Equals(&record->holder, &ask->holder)) {
-        return reply_verdict(owner, ask, HR_CLAIM_VERDICT_GRANTED);
-    }
-    return FINDING_WAIT;
-}
-
-/* Evaluates an ask against the committed value. An id below the watermark is
- * refused whatever the wall clock says, since its record may be dropped. */
-static Finding
-evaluate_ask(HrClaimOwner *owner, const Partition *partition, const Op *op,
-             int64_t wall_ms)
-{
-    const HrClaimMessage *ask = &op->message;
-    const HrClaimRecord *record =
-        HrClaimValue_Find(partition->committed, ask->request_id);
-
-    if (record != NULL) {
-        return evaluate_recorded_ask(owner, ask, record);
-    }
-    if (ask->expires_ms <= partition->committed->watermark_ms) {
-        return reply_refused(owner, ask, HR_REASON_EXPIRED, false);
-    }
-    if (wall_ms < ask->expires_ms &&
-        ask->expires_ms - wall_ms <= HR_CLAIM_MAX_AHEAD_MS) {
-        return FINDING_CHANGE;
-    }
-    if (partition->confirmed_ns < op->arrived_ns) {
-        return FINDING_READ;
-    }
-    return reply_refused(owner, ask, HR_REASON_EXPIRED, true);
-}
-
-/* Evaluates an outcome against the committed value. The first outcome stays;
- * one without a record is confirmed once a read after its arrival has shown
- * that there is nothing to change. */
-static Finding
-evaluate_outcome(HrClaimOwner *owner, const Partition *partition, const Op *op)
-{
-    const HrClaimMessage *outcome = &op->message;
-    const HrClaimRecord *record =
-        HrClaimValue_Find(partition->committed, outcome->request_id);
-
-    if (record != NULL &&
-        HrClaimHolderId_Equals(&record->holder, &outcome->holder)) {
-        return record->state == HR_CLAIM_HELD ? FINDING_CHANGE
-                                              : reply_ack(owner, outcome);
-    }
-    if (partition->confirmed_ns < op->arrived_ns) {
-        return FINDING_READ;
-    }
-    return reply_ack(owner, outcome);
-}
-
-/* Evaluates an op against the committed value. */
-static Finding
-evaluate_op(HrClaimOwner *owner, const Partition *partition, const Op *op,
-            int64_t wall_ms)
-{
-    if (op->message.kind == HR_CLAIM_MESSAGE_ASK) {
-        return evaluate_ask(owner, partition, op, wall_ms);
-    }
-    return evaluate_outcome(owner, partition, op);
-}
-
-/* Returns a new record for an op. */
-static HrClaimRecord *
-create_record(const HrClaimOwner *owner, const HrClaimMessage *message,
-              HrClaimState state)
-{
-    HrClaimRecord *record = talloc_zero(owner, HrClaimRecord);
-
-    if (record == NULL) {
-        return NULL;
-    }
-    memcpy(record->request_id, message->request_id,
-           sizeof(record->request_id));
-    record->expires_ms = message->expires_ms;
-    record->holder = message->holder;
-    record->state = state;
-    return record;
-}
-
-/* Adds a claim to the proposed value; one that does not fit is refused. */
-static Finding
-propose_claim(HrClaimOwner *owner, Partition *partition, const Op *op,
-              uint64_t *size_bytes)
-{
-    HrClaimRecord *record;
-
-    if (HrClaimValue_Find(partition->proposed, op->message.request_id)) {
-        return FINDING_WAIT;
-    }
-    record = create_record(owner, &op->message, HR_CLAIM_HELD);
-    if (record == NULL ||
-        *size_bytes + HrClaimRecord_SizeBound(record) > HR_CLAIM_VALUE_BYTES ||
-        HrClaimValue_Put(partition->proposed, record) != HR_OK) {
-        talloc_free(record);
-        return reply_refused(owner, &op->message, HR_REASON_OVERLOADED,
-                             op->message.first_copy);
-    }
-    *size_bytes += HrClaimRecord_SizeBound(record);
-    return FINDING_CHANGE;
-}
-
-/* Adds an outcome to the proposed value. The result is left out when it does
- * not fit; the state always does. */
-static Finding
-propose_outcome(HrClaimOwner *owner, Partition *partition, const Op *op,
-                uint64_t *size_bytes)
-{
-    const HrClaimMessage *outcome = &op->message;
-    const HrClaimRecord *held =
-        HrClaimValue_Find(partition->proposed, outcome->request_id);
-    HrClaimRecord *record;
-
-    if (held == NULL) {
-        return FINDING_CHANGE; /* it has expired: its removal is written */
-    }
-    if (!HrClaimHolderId_Equals(&held->holder, &outcome->holder) ||
-        held->state != HR_CLAIM_HELD) {
-        return FINDING_WAIT;
-    }
-    if (outcome->state == HR_CLAIM_RELEASED) {
-        HrClaimValue_Remove(partition->proposed, outcome->request_id);
-        return FINDING_CHANGE;
-    }
-    record = create_record(owner, outcome, outcome->state);
-    if (record == NULL) {
-        return FINDING_WAIT;
-    }
-    record->expires_ms = held->expires_ms;
-    if (*size_bytes + outcome->result_bytes <= HR_CLAIM_VALUE_BYTES) {
-        record->result_bytes = outcome->result_bytes;
-        memcpy(record->result, outcome->result, outcome->result_bytes);
-        *size_bytes += outcome->result_bytes;
-    }
-    /* Replacing a record allocates nothing. */
-    HrClaimValue_Put(partition->proposed, record);
-    return FINDING_CHANGE;
-}
-
 /* Applies the pending ops to the proposed value; returns the number of
  * changes. */
 static uint32_t
-propose_changes(HrClaimOwner *owner, Partition *partition)
+propose_changes(HrClaimOwner *owner, HrClaimPartition *partition)
 {
     uint64_t size_bytes = HrClaimValue_SizeBound(partition->proposed);
     uint32_t changes = 0;
-    Op *op, *next;
+    HrClaimOp *op, *next;
 
     TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
-        Finding finding;
+        HrClaimFinding finding;
 
-        if (op->phase != OP_PENDING) {
+        if (op->phase != HR_CLAIM_OP_PENDING) {
             continue;
         }
-        if (op->message.kind == HR_CLAIM_MESSAGE_ASK) {
-            finding = propose_claim(owner, partition, op, &size_bytes);
-        }
-        else {
-            finding = propose_outcome(owner, partition, op, &size_bytes);
-        }
-        if (finding == FINDING_ANSWERED) {
+        finding = HrClaimOwner_Propose(owner, partition, op, &size_bytes);
+        if (finding == HR_CLAIM_FINDING_ANSWERED) {
             remove_op(owner, partition, op);
         }
-        else if (finding == FINDING_CHANGE) {
-            op->phase = OP_IN_BATCH;
+        else if (finding == HR_CLAIM_FINDING_CHANGE) {
+            op->phase = HR_CLAIM_OP_IN_BATCH;
             changes++;
         }
     }
@@ -336,10 +56,10 @@
 
 /* Starts a store call. */
 static void
-start_call(HrClaimOwner *owner, Partition *partition,
+start_call(HrClaimOwner *owner, HrClaimPartition *partition,
            HrClaimOwnerActionKind kind, int64_t now_ns)
 {
-    HrClaimOwnerAction *action = push_action(owner, kind);
+    HrClaimOwnerAction *action = HrClaimOwner_Push(owner, kind);
 
     if (action == NULL) {
         partition->retry_at_ns = now_ns + owner->config.retry_ns;
@@ -357,7 +77,7 @@
 
 /* Starts the commit of the pending ops. */
 static void
-start_commit(HrClaimOwner *owner, Partition *partition, int64_t now_ns,
+start_commit(HrClaimOwner *owner, HrClaimPartition *partition, int64_t now_ns,
              int64_t wall_ms)
 {
     partition->proposed = HrClaimValue_Share(owner, partition->committed);
@@ -378,7 +98,7 @@
 
 /* Makes sure that the partition is run at a time. */
 static void
-wake_by(Partition *partition, int64_t time_ns)
+wake_by(HrClaimPartition *partition, int64_t time_ns)
 {
     if (time_ns < partition->wake_ns) {
         partition->wake_ns = time_ns;
@@ -398,9 +118,10 @@
 
 /* Drops the asks whose holders have given up; they release on their own. */
 static void
-drop_late_asks(HrClaimOwner *owner, Partition *partition, int64_t now_ns)
+drop_late_asks(HrClaimOwner *owner, HrClaimPartition *partition,
+               int64_t now_ns)
 {
-    Op *op, *next;
+    HrClaimOp *op, *next;
 
     TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
         if (op->deadline_ns <= now_ns) {
@@ -415,35 +136,38 @@
 /* Evaluates every op; yields whether a read and a change are needed, and
  * moves wake_ns forward to the next refresh. */
 static void
-evaluate_ops(HrClaimOwner *owner, Partition *partition, int64_t now_ns,
+evaluate_ops(HrClaimOwner *owner, HrClaimPartition *partition, int64_t now_ns,
              int64_t wall_ms, bool *read, bool *change)
 {
-    Op *op, *next;
+    HrClaimOp *op, *next;
 
     TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
-        Finding finding = evaluate_op(owner, partition, op, wall_ms);
+        HrClaimFinding finding =
+            HrClaimOwner_Evaluate(owner, partition, op, wall_ms);
         int64_t refresh_at_ns =
             partition->confirmed_ns + owner->config.refresh_ns;
 
-        if (finding == FINDING_ANSWERED) {
+        if (finding == HR_CLAIM_FINDING_ANSWERED) {
             remove_op(owner, partition, op);
             continue;
         }
-        op->phase = finding == FINDING_WAIT ? OP_WAITING : OP_PENDING;
-        if (finding == FINDING_WAIT && now_ns >= refresh_at_ns) {
+        op->phase = finding == HR_CLAIM_FINDING_WAIT ? HR_CLAIM_OP_WAITING
+                                                     : HR_CLAIM_OP_PENDING;
+        if (finding == HR_CLAIM_FINDING_WAIT && now_ns >= refresh_at_ns) {
             *read = true;
         }
-        else if (finding == FINDING_WAIT) {
+        else if (finding == HR_CLAIM_FINDING_WAIT) {
             wake_by(partition, refresh_at_ns);
         }
-        *read = *read || finding == FINDING_READ;
-        *change = *change || finding == FINDING_CHANGE;
+        *read = *read || finding == HR_CLAIM_FINDING_READ;
+        *change = *change || finding == HR_CLAIM_FINDING_CHANGE;
     }
 }
 
 /* Forgets a partition that nobody uses. */
 static void
-forget_idle(const HrClaimOwner *owner, Partition *partition, int64_t now_ns)
+forget_idle(const HrClaimOwner *owner, HrClaimPartition *partition,
+            int64_t now_ns)
 {
     if (partition->committed == NULL) {
         return;
@@ -458,7 +182,7 @@
 
 /* Does what a partition without a store call in flight needs next. */
 static void
-run_partition(HrClaimOwner *owner, Partition *partition, int64_t now_ns,
+run_partition(HrClaimOwner *owner, HrClaimPartition *partition, int64_t now_ns,
               int64_t wall_ms)
 {
     bool read = partition->committed == NULL, change = false;
@@ -495,11 +219,11 @@
 }
 
 /* Returns the op of a holder with a message kind, or NULL. */
-static Op *
-find_op(Partition *partition, const HrClaimMessage *message,
+static HrClaimOp *
+find_op(HrClaimPartition *partition, const HrClaimMessage *message,
         HrClaimMessageKind kind)
 {
-    Op *op;
+    HrClaimOp *op;
 
     TAILQ_FOREACH (op, &partition->ops, link) {
         if (op->message.kind == kind &&
@@ -512,22 +236,22 @@
 
 /* Drops the ask of a holder that has given up, unless it is being written. */
 static void
-cancel_ask(HrClaimOwner *owner, Partition *partition,
+cancel_ask(HrClaimOwner *owner, HrClaimPartition *partition,
            const HrClaimMessage *outcome)
 {
-    Op *op = find_op(partition, outcome, HR_CLAIM_MESSAGE_ASK);
+    HrClaimOp *op = find_op(partition, outcome, HR_CLAIM_MESSAGE_ASK);
 
-    if (op != NULL && op->phase != OP_IN_BATCH) {
+    if (op != NULL && op->phase != HR_CLAIM_OP_IN_BATCH) {
         remove_op(owner, partition, op);
     }
 }
 
 /* Queues an ask or outcome; a repeated one is dropped. */
 static void
-accept_message(HrClaimOwner *owner, Partition *partition,
+accept_message(HrClaimOwner *owner, HrClaimPartition *partition,
                const HrClaimMessage *message, int64_t now_ns)
 {
-    Op *op;
+    HrClaimOp *op;
 
     if (message->kind == HR_CLAIM_MESSAGE_OUTCOME) {
         cancel_ask(owner, partition, message);
@@ -535,12 +259,13 @@
     if (find_op(partition, message, message->kind) != NULL) {
         return;
     }
-    op = owner->op_count < owner->config.max_pending ? talloc_zero(owner, Op)
-                                                     : NULL;
+    op = owner->op_count < owner->config.max_pending
+             ? talloc_zero(owner, HrClaimOp)
+             : NULL;
     if (op == NULL) {
         if (message->kind == HR_CLAIM_MESSAGE_ASK) {
-            reply_refused(owner, message, HR_REASON_OVERLOADED,
-                          message->first_copy);
+            HrClaimOwner_Refuse(owner, message, HR_REASON_OVERLOADED,
+                                message->first_copy);
         }
         return;
     }
@@ -551,7 +276,7 @@
         message->time_left_ns < HR_TIME_NEVER - now_ns) {
         op->deadline_ns = now_ns + message->time_left_ns;
     }
-    op->phase = OP_PENDING;
+    op->phase = HR_CLAIM_OP_PENDING;
     owner->op_count++;
     TAILQ_INSERT_TAIL(&partition->ops, op, link);
     HrCounters_Add(owner->config.counters, HR_COUNTER_claim_messages, 1);
@@ -563,7 +288,7 @@
 handle_message(HrClaimOwner *owner, const HrClaimOwnerEvent *event)
 {
     const HrClaimMessage *message = event->u.message;
-    Partition *partition;
+    HrClaimPartition *partition;
 
     switch (message->kind) {
     case HR_CLAIM_MESSAGE_ASK:
@@ -586,7 +311,7 @@
 
 /* Takes over the value that a GET has found. */
 static void
-accept_value(HrClaimOwner *owner, Partition *partition,
+accept_value(HrClaimOwner *owner, HrClaimPartition *partition,
              const HrClaimValue *value, uint64_t revision)
 {
     HrClaimValue *copy = value != NULL ? HrClaimValue_Copy(owner, value)
@@ -601,13 +326,13 @@
 /* Ends the attempt to commit the proposed value; its ops are evaluated again
  * against what the store holds. */
 static void
-abandon_proposed(Partition *partition, bool maybe_written)
+abandon_proposed(HrClaimPartition *partition, bool maybe_written)
 {
-    Op *op;
+    HrClaimOp *op;
 
     TAILQ_FOREACH (op, &partition->ops, link) {
-        if (op->phase == OP_IN_BATCH) {
-            op->phase = OP_PENDING;
+        if (op->phase == HR_CLAIM_OP_IN_BATCH) {
+            op->phase = HR_CLAIM_OP_PENDING;
             op->maybe_written = op->maybe_written || maybe_written;
         }
     }
@@ -617,7 +342,7 @@
 
 /* Forgets the committed value, so that it is read again. */
 static void
-forget_committed(Partition *partition)
+forget_committed(HrClaimPartition *partition)
 {
     HrClaimValue_Free(partition->committed, NULL);
     partition->committed = NULL;
@@ -625,7 +350,7 @@
 
 /* Makes the proposed value the committed one. */
 static void
-commit_proposed(Partition *partition, uint64_t revision)
+commit_proposed(HrClaimPartition *partition, uint64_t revision)
 {
     HrClaimValue *former = partition->committed;
 
@@ -640,18 +365,19 @@
  * have claimed stay until that is settled, waiting ones until their deadline.
  * Outcomes are sent again by their holders. */
 static void
-refuse_without_store(HrClaimOwner *owner, Partition *partition)
+refuse_without_store(HrClaimOwner *owner, HrClaimPartition *partition)
 {
-    Op *op, *next;
+    HrClaimOp *op, *next;
 
     HrCounters_Add(owner->config.counters, HR_COUNTER_claim_store_failures, 1);
     TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
-        if (op->phase != OP_PENDING || op->maybe_written) {
+        if (op->phase != HR_CLAIM_OP_PENDING || op->maybe_written) {
             continue;
         }
         if (op->message.kind == HR_CLAIM_MESSAGE_ASK) {
-            reply_refused(owner, &op->message, HR_REASON_STORE_UNAVAILABLE,
-                          op->message.first_copy);
+            HrClaimOwner_Refuse(owner, &op->message,
+                                HR_REASON_STORE_UNAVAILABLE,
+                                op->message.first_copy);
         }
         remove_op(owner, partition, op);
     }
@@ -662,7 +388,7 @@
 handle_store(HrClaimOwner *owner, const HrClaimOwnerEvent *event)
 {
     uint32_t index = event->u.store.partition;
-    Partition *partition;
+    HrClaimPartition *partition;
 
     if (index >= HR_CLAIM_PARTITIONS ||
         owner->partitions[index].call != event->u.store.call ||
@@ -773,7 +499,7 @@
 bool
 HrClaimOwner_Next(HrClaimOwner *owner, HrClaimOwnerAction *action)
 {
-    OwnerAction *entry = STAILQ_FIRST(&owner->actions);
+    HrClaimQueued *entry = STAILQ_FIRST(&owner->actions);
 
     if (entry == NULL) {
         return false;
--- /dev/null
+++ b/src/coord-member-probe.c
@@ -0,0 +1,398 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-member-table.h"
+
+/* Fills in the records that a message passes on. */
+static void
+attach_updates(HrMembership *membership, HrMemberQueued *queued,
+               const HrMemberNode *node)
+{
+    HrMember updates[HR_MEMBER_UPDATES];
+    HrMemberMessage *message = &queued->action.u.send.message;
+    /* A member that others doubt must hear of it to refute it. */
+    const HrMemberNode *about =
+        node != NULL && node->record.state != HR_MEMBER_ALIVE ? node : NULL;
+
+    message->update_count =
+        HrMemberTable_TakeUpdates(membership, about, updates);
+    if (message->update_count == 0) {
+        return;
+    }
+    message->updates = talloc_memdup(queued, updates,
+                                     message->update_count * sizeof(*updates));
+    if (message->updates == NULL) {
+        message->update_count = 0;
+    }
+}
+
+/* Queues a message; a probe, its answer and a request carry updates. */
+void
+HrMembership_Send(HrMembership *membership, const HrMemberNode *node,
+                  const char *address, HrMemberMessage message,
+                  bool fresh_link)
+{
+    HrMemberQueued *queued =
+        HrMembership_Push(membership, HR_MEMBER_ACTION_SEND);
+
+    if (queued == NULL) {
+        return;
+    }
+    message.sender = membership->self;
+    message.view_digest = HrMemberTable_Digest(membership);
+    queued->action.u.send.message = message;
+    queued->action.u.send.daemon_id =
+        node != NULL ? node->record.daemon_id : 0;
+    queued->action.u.send.fresh_link = fresh_link;
+    memcpy(queued->action.u.send.address, address, HR_ADDRESS_BYTES);
+    switch (message.kind) {
+    case HR_MEMBER_MESSAGE_PROBE:
+    case HR_MEMBER_MESSAGE_ACK:
+    case HR_MEMBER_MESSAGE_PROBE_REQUEST:
+        attach_updates(membership, queued, node);
+        break;
+    case HR_MEMBER_MESSAGE_LIST_REQUEST:
+    case HR_MEMBER_MESSAGE_LIST:
+        break;
+    }
+}
+
+/* Sends a probe with a new sequence; returns the sequence. */
+static uint64_t
+send_probe(HrMembership *membership, const HrMemberNode *node,
+           const char *address, bool fresh_link)
+{
+    HrMemberMessage message = {.kind = HR_MEMBER_MESSAGE_PROBE};
+
+    message.sequence = ++membership->last_sequence;
+    message.target_id = node != NULL ? node->record.daemon_id : 0;
+    HrMembership_Send(membership, node, address, message, fresh_link);
+    HrCounters_Add(membership->config.counters, HR_COUNTER_member_probes_sent,
+                   1);
+    return message.sequence;
+}
+
+/* Sends a probe whose answer is not waited for. */
+void
+HrMembership_Nudge(HrMembership *membership, const HrMemberNode *node,
+                   const char *address)
+{
+    send_probe(membership, node, address, true);
+}
+
+/* Returns a random live member other than two ids; NULL when none is found in
+ * a few draws. */
+static HrMemberNode *
+pick_member(HrMembership *membership, uint64_t except_id)
+{
+    uint32_t draw;
+
+    for (draw = 0; draw < 8 && membership->round_count > 0; draw++) {
+        uint64_t place =
+            HrRng_Below(&membership->rng, membership->round_count);
+        HrMemberNode *node =
+            HrMemberTable_Find(membership, membership->round[place]);
+
+        if (node != NULL && node->record.daemon_id != except_id &&
+            node->record.state != HR_MEMBER_DEAD) {
+            return node;
+        }
+    }
+    return NULL;
+}
+
+/* Tells a few random members at once what has changed. */
+void
+HrMembership_Announce(HrMembership *membership)
+{
+    uint32_t i;
+
+    for (i = 0; i < membership->config.indirect_probes; i++) {
+        HrMemberNode *node = pick_member(membership, 0);
+
+        if (node != NULL) {
+            HrMembership_Nudge(membership, node, node->record.peer_address);
+        }
+    }
+}
+
+/* Suspects a member, or declares it dead if it was leaving, and tells it. */
+void
+HrMembership_Suspect(HrMembership *membership, HrMemberNode *node)
+{
+    switch (node->record.state) {
+    case HR_MEMBER_ALIVE:
+        HrMemberTable_SetState(membership, node, HR_MEMBER_SUSPECT);
+        HrMembership_Nudge(membership, node, node->record.peer_address);
+        break;
+    case HR_MEMBER_LEAVING:
+        HrMemberTable_SetState(membership, node, HR_MEMBER_DEAD);
+        break;
+    case HR_MEMBER_SUSPECT:
+    case HR_MEMBER_DEAD:
+        break;
+    }
+}
+
+/* Puts a new member at a random place of the present round of probes. */
+void
+HrMembership_AddToRound(HrMembership *membership, uint64_t daemon_id)
+{
+    uint32_t count = membership->round_count, place;
+    uint64_t *round = membership->round;
+
+    if (count == talloc_array_length(round)) {
+        round = talloc_realloc(membership, round, uint64_t,
+                               count == 0 ? 8 : count * 2);
+        if (round == NULL) {
+            return; /* the next round has it */
+        }
+        membership->round = round;
+    }
+    place = membership->round_next +
+            (uint32_t)HrRng_Below(&membership->rng,
+                                  count - membership->round_next + 1);
+    memmove(&round[place + 1], &round[place],
+            (count - place) * sizeof(*round));
+    round[place] = daemon_id;
+    membership->round_count++;
+}
+
+/* Begins a new round: every node once, in random order. */
+static void
+begin_round(HrMembership *membership)
+{
+    HrMemberNode *node, *next;
+
+    membership->round_count = 0;
+    membership->round_next = 0;
+    HASH_ITER (by_id, membership->nodes, node, next) {
+        HrMembership_AddToRound(membership, node->record.daemon_id);
+    }
+}
+
+/* Returns the next member to probe; NULL when there is none. */
+static HrMemberNode *
+next_of_round(HrMembership *membership)
+{
+    uint32_t tries = membership->round_count + 1;
+
+    if (membership->live_count == 0) {
+        return NULL;
+    }
+    while (tries-- > 0) {
+        HrMemberNode *node;
+
+        if (membership->round_next >= membership->round_count) {
+            begin_round(membership);
+            tries = tries > membership->round_count ? membership->round_count
+                                                    : tries;
+        }
+        if (membership->round_count == 0) {
+            return NULL;
+        }
+        node = HrMemberTable_Find(membership,
+                                  membership->round[membership->round_next++]);
+        if (node != NULL && node->record.state != HR_MEMBER_DEAD) {
+            return node;
+        }
+    }
+    return NULL;
+}
+
+/* Gives up the probe in flight without a verdict. */
+void
+HrMembership_AbandonProbe(HrMembership *membership)
+{
+    membership->probe.target_id = 0;
+    membership->probe.deadline_ns = HR_TIME_NEVER;
+}
+
+/* Probes a dead member or a seed, if there is one. */
+static bool
+probe_outside(HrMembership *membership)
+{
+    const HrMemberNode *node = NULL;
+    const char *address = HrMembership_PickOutside(membership, &node);
+
+    if (address == NULL) {
+        return false;
+    }
+    send_probe(membership, node, address, false);
+    return true;
+}
+
+/* Starts the next probe. */
+static void
+start_probe(HrMembership *membership)
+{
+    uint32_t every = membership->config.outside_probe_every;
+    bool outside = membership->live_count == 0 ||
+                   (every > 0 && ++membership->probe_number % every == 0);
+    HrMemberNode *node;
+
+    if (outside && probe_outside(membership)) {
+        return;
+    }
+    node = next_of_round(membership);
+    if (node == NULL) {
+        return;
+    }
+    membership->probe.target_id = node->record.daemon_id;
+    membership->probe.indirect = false;
+    membership->probe.deadline_ns =
+        membership->now_ns + membership->config.probe_timeout_ns;
+    membership->probe.sequence =
+        send_probe(membership, node, node->record.peer_address, false);
+}
+
+/* Asks other members to probe the target, and probes it again over a new
+ * link: the pooled one may have stopped responding. */
+static void
+probe_indirectly(HrMembership *membership, HrMemberNode *node)
+{
+    HrMemberMessage message = {.kind = HR_MEMBER_MESSAGE_PROBE_REQUEST};
+    uint32_t i;
+
+    membership->probe.indirect = true;
+    membership->probe.deadline_ns =
+        membership->now_ns + membership->config.indirect_timeout_ns;
+    membership->probe.sequence =
+        send_probe(membership, node, node->record.peer_address, true);
+    message.sequence = membership->probe.sequence;
+    message.target_id = node->record.daemon_id;
+    memcpy(message.target_address, node->record.peer_address,
+           HR_ADDRESS_BYTES);
+    for (i = 0; i < membership->config.indirect_probes; i++) {
+        HrMemberNode *relay = pick_member(membership, node->record.daemon_id);
+
+        if (relay != NULL) {
+            HrMembership_Send(membership, relay, relay->record.peer_address,
+                              message, false);
+        }
+    }
+}
+
+/* Moves a probe on whose deadline has come. */
+static void
+run_probe_deadline(HrMembership *membership)
+{
+    HrMemberNode *node =
+        HrMemberTable_Find(membership, membership->probe.target_id);
+
+    if (node == NULL) {
+        HrMembership_AbandonProbe(membership);
+        return;
+    }
+    if (!membership->probe.indirect) {
+        probe_indirectly(membership, node);
+        return;
+    }
+    HrMembership_AbandonProbe(membership);
+    HrCounters_Add(membership->config.counters,
+                   HR_COUNTER_member_probes_failed, 1);
+    HrMembership_Suspect(membership, node);
+}
+
+/* Starts and ends probes whose time has come. */
+void
+HrMembership_RunProbes(HrMembership *membership)
+{
+    if (membership->probe.target_id != 0 &&
+        membership->now_ns >= membership->probe.deadline_ns) {
+        run_probe_deadline(membership);
+    }
+    if (membership->now_ns < membership->next_probe_ns ||
+        membership->probe.target_id != 0) {
+        return;
+    }
+    membership->next_probe_ns =
+        membership->now_ns + membership->config.probe_interval_ns;
+    start_probe(membership);
+}
+
+/* Answers a message of a probe. */
+static void
+send_ack(HrMembership *membership, uint64_t to_id, const char *address,
+         uint64_t sequence, uint64_t subject_id)
+{
+    HrMemberMessage message = {.kind = HR_MEMBER_MESSAGE_ACK};
+
+    message.sequence = sequence;
+    message.subject_id = subject_id;
+    HrMembership_Send(membership, HrMemberTable_Find(membership, to_id),
+                      address, message, false);
+}
+
+/* Answers a probe, also one that is meant for a former daemon at this
+ * address: the answer shows that it has been replaced. */
+void
+HrMembership_HandleProbe(HrMembership *membership,
+                         const HrMemberMessage *message)
+{
+    send_ack(membership, message->sender.daemon_id,
+             message->sender.peer_address, message->sequence,
+             membership->self.daemon_id);
+}
+
+/* Passes the answer to a relayed probe on. */
+static void
+forward_ack(HrMembership *membership, const HrMemberMessage *message)
+{
+    uint32_t i;
+
+    for (i = 0; i < HR_MEMBER_RELAYS; i++) {
+        HrMemberRelay *relay = &membership->relays[i];
+
+        if (relay->sequence != 0 && relay->sequence == message->sequence) {
+            relay->sequence = 0;
+            send_ack(membership, relay->origin_id, relay->origin_address,
+                     relay->origin_sequence, message->subject_id);
+        }
+    }
+}
+
+/* Takes the answer to a probe. An answer by another daemon shows that the
+ * target's address is in use by it. */
+void
+HrMembership_HandleAck(HrMembership *membership,
+                       const HrMemberMessage *message)
+{
+    HrMemberNode *node;
+
+    forward_ack(membership, message);
+    if (membership->probe.target_id == 0 ||
+        membership->probe.sequence != message->sequence) {
+        return;
+    }
+    node = HrMemberTable_Find(membership, membership->probe.target_id);
+    if (node != NULL && message->subject_id != node->record.daemon_id &&
+        node->record.state != HR_MEMBER_DEAD) {
+        HrMemberTable_SetState(membership, node, HR_MEMBER_DEAD);
+    }
+    HrMembership_AbandonProbe(membership);
+}
+
+/* Probes a target for another daemon. The oldest relay is overwritten: its
+ * origin has long given up. */
+void
+HrMembership_HandleProbeRequest(HrMembership *membership,
+                                const HrMemberMessage *message)
+{
+    HrMemberNode *node = HrMemberTable_Find(membership, message->target_id);
+    HrMemberRelay *relay =
+        &membership->relays[membership->relay_next++ % HR_MEMBER_RELAYS];
+    HrMemberMessage probe = {.kind = HR_MEMBER_MESSAGE_PROBE};
+
+    if (message->target_address[0] == '\0') {
+        return;
+    }
+    relay->sequence = ++membership->last_sequence;
+    relay->origin_sequence = message->sequence;
+    relay->origin_id = message->sender.daemon_id;
+    memcpy(relay->origin_address, message->sender.peer_address,
+           HR_ADDRESS_BYTES);
+    probe.sequence = relay->sequence;
+    probe.target_id = message->target_id;
+    HrMembership_Send(membership, node, message->target_address, probe, false);
+}
--- /dev/null
+++ b/src/coord-member.c
@@ -0,0 +1,338 @@
+#include "coord-member.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-member-table.h"
+
+/* Returns an empty queued action; NULL when memory is short. */
+HrMemberQueued *
+HrMembership_Push(HrMembership *membership, HrMemberActionKind kind)
+{
+    HrMemberQueued *queued = talloc_zero(membership, HrMemberQueued);
+
+    if (queued == NULL) {
+        return NULL;
+    }
+    queued->action.kind = kind;
+    STAILQ_INSERT_TAIL(&membership->actions, queued, link);
+    return queued;
+}
+
+/* Frees the action that was popped last. */
+static void
+free_popped(HrMembership *membership)
+{
+    talloc_free(membership->popped);
+    membership->popped = NULL;
+}
+
+/* Returns the time until a full list may be asked for again. */
+static int64_t
+list_pause(HrMembership *membership)
+{
+    int64_t pause_ns = membership->config.list_interval_ns +
+                       membership->config.list_per_member_ns *
+                           (int64_t)membership->live_count;
+
+    return pause_ns +
+           (int64_t)HrRng_Below(&membership->rng, (uint64_t)pause_ns / 4 + 1);
+}
+
+/* Asks a member for its full list if the views differ and the last time is
+ * long enough ago. Lists repair what the passing on of updates has missed. */
+static void
+compare_views(HrMembership *membership, const HrMemberMessage *message,
+              bool rejoined)
+{
+    HrMemberMessage request = {.kind = HR_MEMBER_MESSAGE_LIST_REQUEST};
+    int64_t now_ns = membership->now_ns;
+    bool due = now_ns >= membership->next_list_ns ||
+               (rejoined && now_ns >= membership->next_urgent_ns);
+
+    if (!due || message->view_digest == HrMemberTable_Digest(membership)) {
+        return;
+    }
+    membership->next_list_ns = now_ns + list_pause(membership);
+    membership->next_urgent_ns = now_ns + membership->config.list_interval_ns;
+    HrMembership_Send(
+        membership, HrMemberTable_Find(membership, message->sender.daemon_id),
+        message->sender.peer_address, request, false);
+}
+
+/* Queues one page of the full list. */
+static void
+send_page(HrMembership *membership, const HrMemberMessage *request,
+          const HrMember *records, uint32_t count)
+{
+    HrMemberMessage page = {.kind = HR_MEMBER_MESSAGE_LIST};
+    HrMemberQueued *queued;
+
+    HrMembership_Send(
+        membership, HrMemberTable_Find(membership, request->sender.daemon_id),
+        request->sender.peer_address, page, false);
+    queued = STAILQ_LAST(&membership->actions, HrMemberQueued, link);
+    if (queued == NULL || queued->action.kind != HR_MEMBER_ACTION_SEND ||
+        queued->action.u.send.message.kind != HR_MEMBER_MESSAGE_LIST) {
+        return;
+    }
+    queued->action.u.send.message.updates =
+        talloc_memdup(queued, records, count * sizeof(*records));
+    if (queued->action.u.send.message.updates != NULL) {
+        queued->action.u.send.message.update_count = count;
+    }
+}
+
+/* Sends the full list, dead members included, in pages. */
+static void
+handle_list_request(HrMembership *membership, const HrMemberMessage *request)
+{
+    HrMember records[HR_MEMBER_PAGE];
+    HrMemberNode *node, *next;
+    uint32_t count = 0;
+
+    HASH_ITER (by_id, membership->nodes, node, next) {
+        records[count++] = node->record;
+        if (count == HR_MEMBER_PAGE) {
+            send_page(membership, request, records, count);
+            count = 0;
+        }
+    }
+    if (count > 0) {
+        send_page(membership, request, records, count);
+    }
+}
+
+/* Merges the records that a message carries; yields whether its sender was
+ * thought to be dead, or this daemon knew nobody. */
+static bool
+merge_message(HrMembership *membership, const HrMemberMessage *message)
+{
+    HrMemberNode *node =
+        HrMemberTable_Find(membership, message->sender.daemon_id);
+    bool rejoined = membership->live_count == 0 ||
+                    (node != NULL && node->record.state == HR_MEMBER_DEAD);
+    uint32_t i;
+
+    HrMemberTable_Merge(membership, &message->sender, true);
+    for (i = 0; i < message->update_count && i < HR_MEMBER_PAGE; i++) {
+        HrMemberTable_Merge(membership, &message->updates[i], false);
+    }
+    return rejoined;
+}
+
+/* Handles a message from another daemon. */
+static void
+handle_message(HrMembership *membership, const HrMemberMessage *message)
+{
+    bool rejoined;
+
+    if (message->sender.daemon_id == membership->self.daemon_id ||
+        message->sender.daemon_id == 0 ||
+        message->sender.peer_address[0] == '\0') {
+        return;
+    }
+    rejoined = merge_message(membership, message);
+    switch (message->kind) {
+    case HR_MEMBER_MESSAGE_PROBE:
+        HrMembership_HandleProbe(membership, message);
+        compare_views(membership, message, rejoined);
+        break;
+    case HR_MEMBER_MESSAGE_ACK:
+        HrMembership_HandleAck(membership, message);
+        compare_views(membership, message, rejoined);
+        break;
+    case HR_MEMBER_MESSAGE_PROBE_REQUEST:
+        HrMembership_HandleProbeRequest(membership, message);
+        break;
+    case HR_MEMBER_MESSAGE_LIST_REQUEST:
+        handle_list_request(membership, message);
+        break;
+    case HR_MEMBER_MESSAGE_LIST:
+        break;
+    }
+}
+
+/* Starts the timers at the first event. The first probe is at a random time,
+ * so that daemons that start together do not probe in step. */
+static void
+start_timers(HrMembership *membership)
+{
+    if (membership->started) {
+        return;
+    }
+    membership->started = true;
+    membership->started_ns = membership->now_ns;
+    membership->next_probe_ns =
+        membership->now_ns +
+        (int64_t)HrRng_Below(&membership->rng,
+                             (uint64_t)membership->config.probe_interval_ns);
+}
+
+/* Finds out whether this process was paused. Then the answers to its probes
+ * are still unread, and nobody is to be suspected for them. */
+static void
+detect_pause(HrMembership *membership)
+{
+    int64_t late_ns = membership->now_ns - HrMembership_NextTimer(membership);
+
+    if (late_ns < membership->config.probe_timeout_ns) {
+        return;
+    }
+    HrCounters_Add(membership->config.counters, HR_COUNTER_member_pauses, 1);
+    HrMembership_AbandonProbe(membership);
+    HrMemberTable_ShiftTimed(membership, late_ns);
+}
+
+/* Fills in the times of the design; self is zeroed. */
+void
+HrMemberConfig_Default(HrMemberConfig *config)
+{
+    memset(config, 0, sizeof(*config));
+    config->probe_interval_ns = HR_NS_PER_S;
+    config->probe_timeout_ns = 300 * HR_NS_PER_MS;
+    config->indirect_timeout_ns = 600 * HR_NS_PER_MS;
+    config->indirect_probes = 3;
+    config->suspicion_unit_ns = HR_NS_PER_S;
+    config->retransmit_factor = 3;
+    config->dead_keep_ns = 60 * HR_NS_PER_S;
+    config->outside_probe_every = 10;
+    /* A full list of 1,900 members is about 170 KB; one in 105 s adds under
+     * 2 KB/s. */
+    config->list_interval_ns = 10 * HR_NS_PER_S;
+    config->list_per_member_ns = 50 * HR_NS_PER_MS;
+    config->vm_list_lag_ns = 60 * HR_NS_PER_S;
+}
+
+/* Creates the membership of one daemon, which knows only itself. */
+HrMembership *
+HrMembership_Create(const void *parent, const HrMemberConfig *config,
+                    HrRng rng)
+{
+    HrMembership *membership = talloc_zero(parent, HrMembership);
+
+    if (membership == NULL) {
+        return NULL;
+    }
+    membership->config = *config;
+    membership->rng = rng;
+    membership->self = config->self;
+    membership->self.state = HR_MEMBER_ALIVE;
+    membership->self.spare_percent = 100;
+    membership->view_changed = true;
+    membership->next_probe_ns = HR_TIME_NEVER;
+    STAILQ_INIT(&membership->actions);
+    HrMembership_AbandonProbe(membership);
+    HrMemberTable_Init(membership);
+    return membership;
+}
+
+/* Processes one event. */
+void
+HrMembership_Handle(HrMembership *membership, const HrMemberEvent *event)
+{
+    free_popped(membership);
+    membership->now_ns = event->now_ns;
+    start_timers(membership);
+    detect_pause(membership);
+    switch (event->kind) {
+    case HR_MEMBER_EVENT_TIMER:
+        break;
+    case HR_MEMBER_EVENT_MESSAGE:
+        handle_message(membership, event->u.message);
+        break;
+    case HR_MEMBER_EVENT_VM_LIST:
+        HrMembership_HandleVmList(membership, event->u.vm_list.vms,
+                                  event->u.vm_list.vm_count);
+        break;
+    case HR_MEMBER_EVENT_SEED:
+        HrMembership_AddSeed(membership, event->u.seed);
+        break;
+    case HR_MEMBER_EVENT_LOAD:
+        membership->self.spare_percent =
+            event->u.spare_percent < 100 ? event->u.spare_percent : 100;
+        break;
+    case HR_MEMBER_EVENT_LEAVE:
+        HrMemberTable_Leave(membership);
+        break;
+    }
+    HrMemberTable_RunTimed(membership);
+    HrMembership_RunProbes(membership);
+    if (membership->view_changed) {
+        membership->view_changed = false;
+        HrMembership_Push(membership, HR_MEMBER_ACTION_VIEW);
+    }
+}
+
+/* Pops the next pending action; returns false when there is none. */
+bool
+HrMembership_Next(HrMembership *membership, HrMemberAction *action)
+{
+    HrMemberQueued *queued = STAILQ_FIRST(&membership->actions);
+
+    free_popped(membership);
+    if (queued == NULL) {
+        return false;
+    }
+    STAILQ_REMOVE_HEAD(&membership->actions, link);
+    membership->popped = queued;
+    *action = queued->action;
+    return true;
+}
+
+/* Returns when a timer event is needed next. */
+int64_t
+HrMembership_NextTimer(const HrMembership *membership)
+{
+    int64_t next_ns = HrMemberTable_NextTimed(membership);
+
+    if (membership->probe.target_id != 0) {
+        if (membership->probe.deadline_ns < next_ns) {
+            next_ns = membership->probe.deadline_ns;
+        }
+    }
+    else if (membership->next_probe_ns < next_ns) {
+        next_ns = membership->next_probe_ns;
+    }
+    return next_ns;
+}
+
+/* Orders members by id. */
+static int
+compare_members(const void *left, const void *right)
+{
+    uint64_t left_id = ((const HrMember *)left)->daemon_id;
+    uint64_t right_id = ((const HrMember *)right)->daemon_id;
+
+    return left_id < right_id ? -1 : left_id > right_id ? 1 : 0;
+}
+
+/* Returns a copy of the current view, without dead members, as a talloc child
+ * of parent; NULL when memory is short. */
+HrMemberView *
+HrMembership_View(HrMembership *membership, const void *parent)
+{
+    HrMemberView *view = talloc_zero(parent, HrMemberView);
+    HrMemberNode *node, *next;
+
+    if (view == NULL) {
+        return NULL;
+    }
+    view->self_id = membership->self.daemon_id;
+    view->revision = ++membership->view_revision;
+    view->members = talloc_array(view, HrMember, membership->live_count + 1);
+    if (view->members == NULL) {
+        talloc_free(view);
+        return NULL;
+    }
+    view->members[view->member_count++] = membership->self;
+    HASH_ITER (by_id, membership->nodes, node, next) {
+        if (node->record.state != HR_MEMBER_DEAD) {
+            view->members[view->member_count++] = node->record;
+        }
+    }
+    qsort(view->members, view->member_count, sizeof(HrMember),
+          compare_members);
+    return view;
+}
--- a/src/coord-member.h
+++ b/src/coord-member.h
@@ -123,8 +123,7 @@
 
 /* Returns a copy of the current view, without dead members, as a talloc child
  * of parent; NULL when memory is short. */
-HrMemberView *HrMembership_View(const HrMembership *membership,
-                                const void *parent);
+HrMemberView *HrMembership_View(HrMembership *membership, const void *parent);
 
 /* Returns the suspicion timeout for the present number of members. */
 int64_t HrMembership_SuspicionNs(const HrMembership *membership);
