--- /dev/null
+++ b/src/daemon-peer.c
@@ -0,0 +1,412 @@
+#include "daemon-peer.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-owner.h"
+#include "daemon-pending.h"
+#include "trans-peer.h"
+
+/* State of the peer task. */
+typedef struct PeerTask {
+    HrTask *task;
+    HrPeerNode *node;
+    HrPending *pending;
+    uint64_t last_tag;
+} PeerTask;
+
+/* Tells the query task that a sub-request has failed. */
+static void
+report_failure(PeerTask *peer, const HrQueryId *query, uint32_t sub_id,
+               bool handed_over)
+{
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_SUB_FAILURE);
+
+    if (message != NULL) {
+        message->u.failure.query = *query;
+        message->u.failure.sub_id = sub_id;
+        message->u.failure.handed_over = handed_over;
+        message->u.failure.reason = HR_REASON_PEER_UNREACHABLE;
+    }
+    HrTask_Post(peer->task, HrDaemon_QueryTask(peer->task->daemon, query),
+                message);
+}
+
+/* Returns the address of a daemon in the member view, or NULL. */
+static const char *
+find_address(const PeerTask *peer, uint64_t daemon_id)
+{
+    const HrMemberView *view =
+        HrSnapshots_Members(peer->task->daemon->snapshots);
+    const HrMember *member =
+        view != NULL ? HrMemberView_Find(view, daemon_id) : NULL;
+
+    return member != NULL ? member->peer_address : NULL;
+}
+
+/* Sends a batch to its scheduling daemon. */
+static void
+send_batch(PeerTask *peer, const HrMessage *message)
+{
+    const HrSubRequest *requests = message->u.requests.requests;
+    uint32_t count = message->u.requests.request_count, i;
+    const char *address = find_address(peer, message->u.requests.to_id);
+    HrPeerFrame frame = {.kind = HR_PEER_SUB_BATCH};
+    HrPendingSub sub = {.tag = ++peer->last_tag};
+    int rc = HR_ERR_UNAVAILABLE;
+
+    frame.u.sub_batch.requests = requests;
+    frame.u.sub_batch.request_count = count;
+    if (address != NULL) {
+        rc = HrPeerNode_Send(peer->node, address, false, &frame, sub.tag,
+                             &sub.link);
+    }
+    for (i = 0; i < count; i++) {
+        if (rc != HR_OK) {
+            report_failure(peer, &requests[i].query, requests[i].sub_id,
+                           false);
+            continue;
+        }
+        sub.query = requests[i].query;
+        sub.sub_id = requests[i].sub_id;
+        if (HrPending_Add(peer->pending, &sub) != HR_OK) {
+            report_failure(peer, &sub.query, sub.sub_id, true);
+        }
+    }
+}
+
+/* Passes a cancellation on the link that the sub-request took. */
+static void
+send_cancel(PeerTask *peer, const HrMessage *message)
+{
+    const HrPeerSubCancel *cancel = &message->u.cancel.cancel;
+    HrPeerFrame frame = {.kind = HR_PEER_SUB_CANCEL, .u.sub_cancel = *cancel};
+    HrPendingSub sub;
+
+    if (HrPending_Take(peer->pending, &cancel->query, cancel->sub_id, &sub)) {
+        HrPeerNode_Reply(peer->node, sub.link, &frame, 0);
+    }
+}
+
+/* Sends a sub-answer on the link that its request came from. */
+static void
+send_answer(PeerTask *peer, const HrMessage *message)
+{
+    HrPeerFrame frame = {.kind = HR_PEER_SUB_ANSWER,
+                         .u.sub_answer = message->u.answer.answer};
+
+    if (HrPeerNode_Reply(peer->node, message->u.answer.origin.link, &frame,
+                         0) == HR_ERR_TOO_LARGE) {
+        frame.u.sub_answer.outcome = HR_OUTCOME_UNKNOWN;
+        frame.u.sub_answer.reason = HR_REASON_BAD_ANSWER;
+        frame.u.sub_answer.payload.length_bytes = 0;
+        HrPeerNode_Reply(peer->node, message->u.answer.origin.link, &frame, 0);
+    }
+}
+
+/* Sends a frame of another task. A loss is repaired by that task's own
+ * repetition. */
+static void
+send_frame(PeerTask *peer, const HrMessage *message)
+{
+    const char *address = message->u.peer.address;
+    uint64_t link;
+
+    if (message->u.peer.link != 0) {
+        HrPeerNode_Reply(peer->node, message->u.peer.link,
+                         message->u.peer.frame, 0);
+        return;
+    }
+    if (address == NULL || address[0] == '\0') {
+        address = find_address(peer, message->u.peer.to_id);
+    }
+    if (address != NULL) {
+        HrPeerNode_Send(peer->node, address, message->u.peer.fresh,
+                        message->u.peer.frame, 0, &link);
+    }
+}
+
+/* Handles a message of another task. */
+static void
+handle_message(void *state, HrMessage *message)
+{
+    PeerTask *peer = state;
+
+    switch (message->kind) {
+    case HR_MESSAGE_SUB_REQUESTS:
+        send_batch(peer, message);
+        break;
+    case HR_MESSAGE_SUB_CANCEL:
+        send_cancel(peer, message);
+        break;
+    case HR_MESSAGE_SUB_ANSWER:
+        send_answer(peer, message);
+        break;
+    case HR_MESSAGE_PEER_SEND:
+        send_frame(peer, message);
+        break;
+    default:
+        break;
+    }
+    talloc_free(message);
+}
+
+/* Returns true if a request of the batch belongs to a scheduling task. */
+static bool
+belongs_to(const HrDaemon *daemon, const HrSubRequest *request,
+           const HrTask *task)
+{
+    return HrDaemon_SchedTask(daemon, request->pool, request->group) == task;
+}
+
+/* Hands the requests of a batch that belong to one scheduling task to it. */
+static void
+forward_requests(PeerTask *peer, HrTask *to, const HrPeerEvent *event)
+{
+    const HrDaemon *daemon = peer->task->daemon;
+    const HrPeerSubBatch *batch = &event->frame->u.sub_batch;
+    HrMessage *message;
+    HrSubRequest *requests;
+    uint32_t i, count = 0;
+
+    for (i = 0; i < batch->request_count; i++) {
+        count += belongs_to(daemon, &batch->requests[i], to);
+    }
+    if (count == 0) {
+        return;
+    }
+    message = HrMessage_Create(HR_MESSAGE_SUB_REQUESTS);
+    requests = talloc_array(message, HrSubRequest, count);
+    if (message == NULL || requests == NULL) {
+        talloc_free(message);
+        return;
+    }
+    for (i = 0, count = 0; i < batch->request_count; i++) {
+        if (belongs_to(daemon, &batch->requests[i], to)) {
+            HrSubRequest *request = &requests[count++];
+
+            *request = batch->requests[i];
+            request->group = HrMessage_CopyText(message, request->group);
+            request->shard = HrMessage_CopyText(message, request->shard);
+            request->pool = HrMessage_CopyText(message, request->pool);
+            request->caller = HrMessage_CopyText(message, request->caller);
+            request->payload = HrMessage_CopyBytes(message, request->payload);
+        }
+    }
+    message->u.requests.origin.link = event->link;
+    message->u.requests.requests = requests;
+    message->u.requests.request_count = count;
+    HrTask_Post(peer->task, to, message);
+}
+
+/* Hands a whole batch to one scheduling task, without copies. */
+static void
+forward_whole_batch(PeerTask *peer, HrTask *to, const HrPeerEvent *event)
+{
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_SUB_REQUESTS);
+
+    if (message != NULL) {
+        message->u.requests.origin.link = event->link;
+        message->u.requests.requests = event->frame->u.sub_batch.requests;
+        message->u.requests.request_count =
+            event->frame->u.sub_batch.request_count;
+        talloc_steal(message, event->frame);
+    }
+    HrTask_Post(peer->task, to, message);
+}
+
+/* Divides a received batch among the scheduling tasks. */
+static void
+receive_batch(PeerTask *peer, const HrPeerEvent *event)
+{
+    const HrDaemon *daemon = peer->task->daemon;
+    uint32_t i;
+
+    if (daemon->sched_count == 1) {
+        forward_whole_batch(peer, daemon->sched[0], event);
+        return;
+    }
+    for (i = 0; i < daemon->sched_count; i++) {
+        forward_requests(peer, daemon->sched[i], event);
+    }
+    talloc_free(event->frame);
+}
+
+/* Hands a sub-answer to its query. One that does not come over the link of
+ * its request is dropped. */
+static void
+receive_answer(PeerTask *peer, const HrPeerEvent *event)
+{
+    const HrDaemon *daemon = peer->task->daemon;
+    const HrSubAnswer *answer = &event->frame->u.sub_answer;
+    HrOrigin origin = {0, 0};
+    HrMessage *message;
+    HrPendingSub sub;
+
+    if (answer->query.daemon_id != daemon->daemon_id ||
+        !HrPending_Take(peer->pending, &answer->query, answer->sub_id, &sub)) {
+        HrCounters_Add(daemon->counters, HR_COUNTER_sub_answers_dropped, 1);
+    }
+    else if (sub.link != event->link) {
+        HrCounters_Add(daemon->counters, HR_COUNTER_sub_answers_dropped, 1);
+        HrPending_Add(peer->pending, &sub);
+    }
+    else {
+        message = HrMessage_SubAnswer(&origin, answer);
+        if (message != NULL) {
+            message->u.answer.remote = true;
+        }
+        HrTask_Post(peer->task, HrDaemon_QueryTask(daemon, &answer->query),
+                    message);
+    }
+    talloc_free(event->frame);
+}
+
+/* Hands a cancellation to the scheduling task. */
+static void
+receive_cancel(PeerTask *peer, const HrPeerEvent *event)
+{
+    const HrPeerSubCancel *cancel = &event->frame->u.sub_cancel;
+    HrTask *to =
+        HrDaemon_SchedTask(peer->task->daemon, cancel->pool, cancel->group);
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_SUB_CANCEL);
+
+    if (message != NULL) {
+        message->u.cancel.origin.link = event->link;
+        message->u.cancel.cancel = *cancel;
+        talloc_steal(message, event->frame);
+    }
+    HrTask_Post(peer->task, to, message);
+}
+
+/* Hands a frame on as it is. */
+static void
+forward_frame(PeerTask *peer, HrTask *to, HrMessageKind kind,
+              const HrPeerEvent *event)
+{
+    HrMessage *message = HrMessage_Create(kind);
+
+    if (message != NULL) {
+        message->u.peer.link = event->link;
+        message->u.peer.from_id = event->daemon_id;
+        message->u.peer.frame = talloc_steal(message, event->frame);
+    }
+    HrTask_Post(peer->task, to, message);
+}
+
+/* Handles a frame of another daemon. */
+static void
+receive_frame(PeerTask *peer, const HrPeerEvent *event)
+{
+    const HrDaemon *daemon = peer->task->daemon;
+
+    switch (event->frame->kind) {
+    case HR_PEER_SUB_BATCH:
+        receive_batch(peer, event);
+        break;
+    case HR_PEER_SUB_ANSWER:
+        receive_answer(peer, event);
+        break;
+    case HR_PEER_SUB_CANCEL:
+        receive_cancel(peer, event);
+        break;
+    case HR_PEER_HANDOVER:
+        forward_frame(peer,
+                      HrDaemon_SchedTask(daemon, event->frame->u.handover.pool,
+                                         event->frame->u.handover.group),
+                      HR_MESSAGE_HANDOVER, event);
+        break;
+    default:
+        forward_frame(peer, daemon->control, HR_MESSAGE_PEER_FRAME, event);
+        break;
+    }
+}
+
+/* Reports the sub-requests of a link as failed. */
+static void
+fail_pending(PeerTask *peer, uint64_t link, uint64_t tag, bool handed_over)
+{
+    HrPendingSub sub;
+
+    while (HrPending_TakeOfLink(peer->pending, link, tag, &sub)) {
+        report_failure(peer, &sub.query, sub.sub_id, handed_over);
+    }
+}
+
+/* Tells the scheduling tasks that nobody waits for the answers to a link. */
+static void
+report_link_closed(PeerTask *peer, uint64_t link)
+{
+    const HrDaemon *daemon = peer->task->daemon;
+    uint32_t i;
+
+    for (i = 0; i < daemon->sched_count; i++) {
+        HrMessage *message = HrMessage_Create(HR_MESSAGE_LINK_CLOSED);
+
+        if (message != NULL) {
+            message->u.link = link;
+        }
+        HrTask_Post(peer->task, daemon->sched[i], message);
+    }
+}
+
+/* Handles an event of the peer links. */
+static void
+handle_event(void *arg, const HrPeerEvent *event)
+{
+    PeerTask *peer = arg;
+
+    switch (event->kind) {
+    case HR_PEER_EVENT_FRAME:
+        receive_frame(peer, event);
+        break;
+    case HR_PEER_EVENT_UNSENT:
+        fail_pending(peer, event->link, event->tag, false);
+        break;
+    case HR_PEER_EVENT_CLOSED:
+        fail_pending(peer, event->link, 0, true);
+        report_link_closed(peer, event->link);
+        break;
+    }
+}
+
+/* Prepares the peer task. */
+int
+HrPeerTask_Init(HrTask *task, HrError *err)
+{
+    const HrDaemon *daemon = task->daemon;
+    const HrSettings *settings = daemon->settings;
+    PeerTask *peer = talloc_zero(task, PeerTask);
+    HrPeerNodeConfig config;
+
+    if (peer == NULL) {
+        return HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+    }
+    peer->task = task;
+    peer->pending = HrPending_Create(peer);
+    HrPeerNodeConfig_Default(&config);
+    config.cluster = settings->cluster;
+    config.key = settings->peer_key;
+    config.daemon_id = daemon->daemon_id;
+    config.listen = settings->peer_listen;
+    config.queue_bytes = settings->peer_queue_bytes;
+    config.max_links = settings->peer_max_links;
+    config.idle_ms = settings->peer_idle_ms;
+    config.counters = daemon->counters;
+    config.fn = handle_event;
+    config.arg = peer;
+    peer->node = HrPeerNode_Create(peer, task->loop, &config, err);
+    if (peer->node == NULL || peer->pending == NULL) {
+        return HR_ERR_IO;
+    }
+    task->state = peer;
+    task->handle = handle_message;
+    return HR_OK;
+}
+
+/* Returns the port that the task listens on. */
+uint16_t
+HrPeerTask_Port(const HrTask *task)
+{
+    return HrPeerNode_Port(((const PeerTask *)task->state)->node);
+}
--- /dev/null
+++ b/src/daemon-peer.h
@@ -0,0 +1,13 @@
+#ifndef HR_DAEMON_PEER_H
+#define HR_DAEMON_PEER_H
+
+#include "daemon-task.h"
+
+/* Prepares the peer task: the listening socket and the links to other
+ * daemons. Returns 0 or a negative number with err filled. */
+int HrPeerTask_Init(HrTask *task, HrError *err);
+
+/* Returns the port that the task listens on. */
+uint16_t HrPeerTask_Port(const HrTask *task);
+
+#endif
--- /dev/null
+++ b/src/daemon-placement.c
@@ -0,0 +1,210 @@
+#include "daemon-placement.h"
+
+#include <string.h>
+#include <talloc.h>
+#include <uthash.h>
+
+/* A group with the data centres of its servers. */
+typedef struct Entry {
+    HrPlacedGroup placed; /* first: HrPlacement_Next casts it back */
+    UT_hash_handle hh;
+    char *key;
+    const char **data_centres;
+    uint32_t data_centre_count;
+} Entry;
+
+struct HrPlacement {
+    uint64_t tables_revision;
+    uint64_t view_revision;
+    bool has_view;
+    Entry *entries;
+    void *memory; /* parent of all entries */
+};
+
+/* Empties the hash before its entries go. */
+static int
+destroy_placement(HrPlacement *placement)
+{
+    HASH_CLEAR(hh, placement->entries);
+    return 0;
+}
+
+/* Creates an empty placement. */
+HrPlacement *
+HrPlacement_Create(const void *parent)
+{
+    HrPlacement *placement = talloc_zero(parent, HrPlacement);
+
+    if (placement != NULL) {
+        talloc_set_destructor(placement, destroy_placement);
+    }
+    return placement;
+}
+
+/* Returns the key of a group. Names hold no line end. */
+static char *
+make_key(const void *parent, const char *pool, const char *group)
+{
+    return talloc_asprintf(parent, "%s\n%s", pool, group);
+}
+
+/* Returns the entry of a group, or NULL. */
+static Entry *
+find_entry(const HrPlacement *placement, const char *pool, const char *group)
+{
+    char *key = make_key(NULL, pool, group);
+    Entry *entry = NULL;
+
+    if (key != NULL) {
+        HASH_FIND_STR(placement->entries, key, entry);
+        talloc_free(key);
+    }
+    return entry;
+}
+
+/* Adds an entry without servers; NULL when memory runs out. */
+static Entry *
+add_entry(HrPlacement *placement, const char *pool, const char *group)
+{
+    Entry *entry = talloc_zero(placement->memory, Entry);
+
+    if (entry == NULL) {
+        return NULL;
+    }
+    entry->placed.pool = talloc_strdup(entry, pool);
+    entry->placed.group = talloc_strdup(entry, group);
+    entry->key = make_key(entry, pool, group);
+    if (entry->placed.pool == NULL || entry->placed.group == NULL ||
+        entry->key == NULL) {
+        return NULL;
+    }
+    HASH_ADD_KEYPTR(hh, placement->entries, entry->key, strlen(entry->key),
+                    entry);
+    return entry;
+}
+
+/* Notes the data centre of a server once. */
+static void
+add_data_centre(Entry *entry, const char *data_centre)
+{
+    const char **grown;
+    uint32_t i;
+
+    for (i = 0; i < entry->data_centre_count; i++) {
+        if (strcmp(entry->data_centres[i], data_centre) == 0) {
+            return;
+        }
+    }
+    grown = talloc_realloc(entry, entry->data_centres, const char *,
+                           entry->data_centre_count + 1);
+    if (grown == NULL) {
+        return;
+    }
+    entry->data_centres = grown;
+    entry->data_centres[entry->data_centre_count++] =
+        talloc_strdup(entry, data_centre);
+}
+
+/* Builds the entries from the tables. */
+static void
+rebuild_entries(HrPlacement *placement, const HrTables *tables)
+{
+    uint32_t i, j;
+
+    HASH_CLEAR(hh, placement->entries);
+    talloc_free(placement->memory);
+    placement->memory = talloc_new(placement);
+    for (i = 0; tables != NULL && i < tables->pool_count; i++) {
+        const HrPool *pool = &tables->pools[i];
+
+        for (j = 0; j < pool->server_count; j++) {
+            const HrServer *server = &pool->servers[j];
+            Entry *entry = find_entry(placement, pool->name, server->group);
+
+            if (entry == NULL) {
+                entry = add_entry(placement, pool->name, server->group);
+            }
+            if (entry != NULL) {
+                add_data_centre(entry, server->data_centre);
+            }
+        }
+    }
+}
+
+/* Ranks the candidates of every group. */
+static void
+rank_entries(HrPlacement *placement, const HrMemberView *view)
+{
+    Entry *entry;
+
+    for (entry = placement->entries; entry != NULL; entry = entry->hh.next) {
+        HrOwnerPreference prefer = {entry->data_centres,
+                                    entry->data_centre_count};
+
+        entry->placed.count = 0;
+        if (view != NULL) {
+            entry->placed.count = HrOwner_Candidates(
+                view, entry->placed.pool, entry->placed.group, &prefer,
+                entry->placed.ids, HR_OWNER_CANDIDATES);
+        }
+    }
+}
+
+/* Brings the placement up to date. */
+bool
+HrPlacement_Update(HrPlacement *placement, const HrTables *tables,
+                   const HrMemberView *view)
+{
+    uint64_t tables_revision = tables != NULL ? tables->revision : 0;
+    uint64_t view_revision = view != NULL ? view->revision : 0;
+    bool new_tables = placement->tables_revision != tables_revision;
+    bool new_view = placement->view_revision != view_revision ||
+                    placement->has_view != (view != NULL);
+
+    if (!new_tables && !new_view) {
+        return false;
+    }
+    if (new_tables) {
+        rebuild_entries(placement, tables);
+    }
+    rank_entries(placement, view);
+    placement->tables_revision = tables_revision;
+    placement->view_revision = view_revision;
+    placement->has_view = view != NULL;
+    return true;
+}
+
+/* Returns a group of the tables, or NULL. */
+const HrPlacedGroup *
+HrPlacement_Find(HrPlacement *placement, const char *pool, const char *group)
+{
+    const Entry *entry = find_entry(placement, pool, group);
+
+    return entry != NULL ? &entry->placed : NULL;
+}
+
+/* Returns the groups one by one. */
+const HrPlacedGroup *
+HrPlacement_Next(const HrPlacement *placement, const HrPlacedGroup *former)
+{
+    const Entry *entry = placement->entries;
+
+    if (former != NULL) {
+        entry = ((const Entry *)former)->hh.next;
+    }
+    return entry != NULL ? &entry->placed : NULL;
+}
+
+/* Returns the rank of a daemon among the candidates, or -1. */
+int
+HrPlacedGroup_Rank(const HrPlacedGroup *group, uint64_t daemon_id)
+{
+    uint32_t i;
+
+    for (i = 0; i < group->count; i++) {
+        if (group->ids[i] == daemon_id) {
+            return (int)i;
+        }
+    }
+    return -1;
+}
--- a/src/daemon-snapshot.c
+++ b/src/daemon-snapshot.c
@@ -75,8 +75,8 @@
     if (memory == NULL) {
         return NULL;
     }
-    reader = (HrSnapshotReader *)(((uintptr_t)memory + align - 1) / align *
-                                  align);
+    reader =
+        (HrSnapshotReader *)(((uintptr_t)memory + align - 1) / align * align);
     reader->snapshots = snapshots;
     ck_epoch_register(&snapshots->epoch, &reader->record, NULL);
     return reader;
