--- a/src/daemon-peer.c
+++ b/src/daemon-peer.c
@@ -239,7 +239,6 @@
 {
     const HrDaemon *daemon = peer->task->daemon;
     const HrSubAnswer *answer = &event->frame->u.sub_answer;
-    HrOrigin origin = {0, 0};
     HrMessage *message;
     HrPendingSub sub;
 
@@ -252,12 +251,15 @@
         HrPending_Add(peer->pending, &sub);
     }
     else {
-        message = HrMessage_SubAnswer(&origin, answer);
+        message = HrMessage_Create(HR_MESSAGE_SUB_ANSWER);
         if (message != NULL) {
+            message->u.answer.answer = *answer;
             message->u.answer.remote = true;
+            talloc_steal(message, event->frame);
         }
         HrTask_Post(peer->task, HrDaemon_QueryTask(daemon, &answer->query),
                     message);
+        return;
     }
     talloc_free(event->frame);
 }
--- /dev/null
+++ b/src/daemon-sched-http.c
@@ -0,0 +1,237 @@
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daemon-sched-group.h"
+
+#define CONNECT_TIMEOUT_NS (2 * HR_NS_PER_S)
+#define CANCEL_TIMEOUT_NS HR_NS_PER_S
+#define URL_BYTES 160
+
+/* A cancellation that is under way. */
+typedef struct Cancellation {
+    HrSchedGroup *group;
+    uint64_t attempt_id;
+} Cancellation;
+
+/* Classifies an exchange without a usable answer. */
+static HrAttemptFailure
+classify_failure(const HrHttpAnswer *answer)
+{
+    if (!answer->maybe_sent) {
+        return answer->error == HR_ERR_CLOSED && answer->connect_ns > 0
+                   ? HR_ATTEMPT_REFUSED
+                   : HR_ATTEMPT_NOT_SENT;
+    }
+    if (answer->error == HR_ERR_PROTOCOL ||
+        answer->error == HR_ERR_TOO_LARGE) {
+        return HR_ATTEMPT_BAD_ANSWER;
+    }
+    return HR_ATTEMPT_LOST;
+}
+
+/* Forgets an attempt. */
+static void
+remove_attempt(HrSchedAttempt *attempt)
+{
+    HASH_DELETE(hh, attempt->group->attempts, attempt);
+    talloc_free(attempt);
+}
+
+/* Reports the end of an attempt without a usable answer. */
+static void
+end_failed(HrSchedAttempt *attempt, HrAttemptFailure failure)
+{
+    HrSchedGroup *group = attempt->group;
+    HrSchedEvent event = {.kind = HR_SCHED_ATTEMPT_FAILED};
+
+    event.u.attempt_failed.attempt_id = attempt->attempt_id;
+    event.u.attempt_failed.failure = failure;
+    remove_attempt(attempt);
+    HrSchedGroup_Handle(group, &event);
+}
+
+/* Decodes the answer to an attempt and reports it. An answer with another
+ * attempt id counts as bad, because that id may be open as well. */
+static void
+end_answered(HrSchedAttempt *attempt, const HrHttpAnswer *http)
+{
+    HrSchedGroup *group = attempt->group;
+    HrSchedEvent event = {.kind = HR_SCHED_BACKEND_ANSWER};
+    void *scratch = talloc_new(NULL);
+    HrBackendAnswer answer;
+    int rc = HrBackend_DecodeAnswer(scratch, http->status, http->body, &answer,
+                                    NULL);
+
+    if (rc != HR_OK) {
+        end_failed(attempt, http->status == 200 || http->status == 503
+                                ? HR_ATTEMPT_BAD_ANSWER
+                                : HR_ATTEMPT_SERVER_ERROR);
+    }
+    else if (answer.answer.attempt_id != attempt->attempt_id) {
+        end_failed(attempt, HR_ATTEMPT_BAD_ANSWER);
+    }
+    else {
+        event.u.backend_answer = answer.answer;
+        remove_attempt(attempt);
+        HrSchedGroup_Handle(group, &event);
+    }
+    talloc_free(scratch);
+}
+
+/* Receives the end of an attempt's HTTP exchange. */
+static void
+handle_search_end(void *arg, const HrHttpAnswer *http)
+{
+    HrSchedAttempt *attempt = arg;
+
+    attempt->call = NULL;
+    if (http->error != HR_OK) {
+        end_failed(attempt, classify_failure(http));
+        return;
+    }
+    end_answered(attempt, http);
+}
+
+/* Fills an HTTP request from the form of the backend protocol. */
+static void
+fill_request(const HrBackendRequest *backend, const char *address, char *url,
+             const char **headers, HrHttpRequest *http)
+{
+    uint32_t i;
+
+    snprintf(url, URL_BYTES, "http://%s%s", address, backend->path);
+    for (i = 0; i < backend->header_count; i++) {
+        headers[i] = backend->headers[i];
+    }
+    http->method = "POST";
+    http->url = url;
+    http->headers = headers;
+    http->header_count = backend->header_count;
+}
+
+/* Starts the HTTP exchange of an attempt; NULL when nothing was sent. */
+static HrHttpCall *
+start_search(HrSchedAttempt *attempt, const HrSchedSendAttempt *send)
+{
+    HrSchedGroup *group = attempt->group;
+    int64_t now_ns = HrLoop_NowNs(group->task->loop);
+    const char *headers[HR_BACKEND_HEADERS + 1];
+    char url[URL_BYTES];
+    HrBackendRequest backend;
+    HrHttpRequest http = {0};
+
+    if (HrBackend_EncodeSearch(&backend, send->attempt_id, send->request,
+                               send->deadline_ns, now_ns) != HR_OK) {
+        return NULL;
+    }
+    fill_request(&backend, send->address, url, headers, &http);
+    headers[http.header_count++] = "Content-Type: application/json";
+    http.body = send->request->payload;
+    http.timeout_ns = send->deadline_ns - now_ns;
+    http.connect_timeout_ns = http.timeout_ns < CONNECT_TIMEOUT_NS
+                                  ? http.timeout_ns
+                                  : CONNECT_TIMEOUT_NS;
+    /* The HTTP client may silently repeat a request on a reused connection,
+     * which a non-idempotent request must not suffer. */
+    http.fresh_connection =
+        send->fresh_connection || !send->request->idempotent;
+    return HrHttpClient_Start(group->client, &http, handle_search_end,
+                              attempt);
+}
+
+/* Puts an attempt on the list of those to be reported as failed. */
+static void
+defer_failure(HrSchedAttempt *attempt, HrAttemptFailure failure)
+{
+    HrSchedGroup *group = attempt->group;
+    HrSchedAttempt **end = &group->failed;
+
+    attempt->failure = failure;
+    attempt->next_failed = NULL;
+    while (*end != NULL) {
+        end = &(*end)->next_failed;
+    }
+    *end = attempt;
+}
+
+/* Starts an attempt. */
+void
+HrSchedGroup_StartAttempt(HrSchedGroup *group, const HrSchedSendAttempt *send)
+{
+    HrSchedAttempt *attempt = talloc_zero(group, HrSchedAttempt);
+
+    if (attempt == NULL) {
+        HrLog_Write(group->task->daemon->log, HR_LOG_ERROR, "out_of_memory",
+                    NULL);
+        return;
+    }
+    attempt->group = group;
+    attempt->attempt_id = send->attempt_id;
+    attempt->call = start_search(attempt, send);
+    if (attempt->call == NULL) {
+        defer_failure(attempt, HR_ATTEMPT_NOT_SENT);
+        return;
+    }
+    HASH_ADD(hh, group->attempts, attempt_id, sizeof(attempt->attempt_id),
+             attempt);
+}
+
+/* Reports the result of a cancellation. */
+static void
+handle_cancel_end(void *arg, const HrHttpAnswer *http)
+{
+    Cancellation *cancellation = arg;
+    HrSchedGroup *group = cancellation->group;
+    HrSchedEvent event = {.kind = HR_SCHED_CANCEL_RESULT};
+
+    event.u.cancel_result.attempt_id = cancellation->attempt_id;
+    event.u.cancel_result.confirmed =
+        http->error == HR_OK && HrBackend_CancelConfirmed(http->status);
+    talloc_free(cancellation);
+    HrSchedGroup_Handle(group, &event);
+}
+
+/* Asks the server to give an attempt up. */
+static void
+send_cancel(HrSchedGroup *group, const HrSchedCancelAttempt *cancel)
+{
+    Cancellation *cancellation = talloc_zero(group, Cancellation);
+    const char *headers[HR_BACKEND_HEADERS];
+    char url[URL_BYTES];
+    HrBackendRequest backend;
+    HrHttpRequest http = {.timeout_ns = CANCEL_TIMEOUT_NS,
+                          .connect_timeout_ns = CANCEL_TIMEOUT_NS};
+
+    if (cancellation == NULL) {
+        return;
+    }
+    cancellation->group = group;
+    cancellation->attempt_id = cancel->attempt_id;
+    HrBackend_EncodeCancel(&backend, &cancel->query, cancel->attempt_id);
+    fill_request(&backend, cancel->address, url, headers, &http);
+    if (HrHttpClient_Start(group->client, &http, handle_cancel_end,
+                           cancellation) == NULL) {
+        talloc_free(cancellation);
+    }
+}
+
+/* Cancels an attempt. */
+void
+HrSchedGroup_CancelAttempt(HrSchedGroup *group,
+                           const HrSchedCancelAttempt *cancel)
+{
+    HrSchedAttempt *attempt = NULL;
+    bool maybe_sent;
+
+    send_cancel(group, cancel);
+    HASH_FIND(hh, group->attempts, &cancel->attempt_id,
+              sizeof(cancel->attempt_id), attempt);
+    if (attempt == NULL || !cancel->close_connection) {
+        return;
+    }
+    maybe_sent = HrHttpCall_MaybeSent(attempt->call);
+    HrHttpCall_Cancel(attempt->call);
+    HASH_DELETE(hh, group->attempts, attempt);
+    defer_failure(attempt, maybe_sent ? HR_ATTEMPT_LOST : HR_ATTEMPT_NOT_SENT);
+}
--- /dev/null
+++ b/src/daemon-sched-poll.c
@@ -0,0 +1,317 @@
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daemon-sched-group.h"
+
+#define POLL_TIMEOUT_NS HR_NS_PER_S
+/* Daemons that only might become the scheduler poll this much less often, so
+ * that their polls take few of a server's connections. */
+#define STANDBY_FACTOR 8
+/* Reports are repeated, because the pool home may have changed. */
+#define REPORT_INTERVAL_NS HR_NS_PER_S
+/* A status this many polls old says nothing about what a server holds. */
+#define STATUS_MAX_POLLS 5
+
+/* Returns the time between two polls, jittered by a quarter either way. */
+static int64_t
+poll_interval_ns(HrSchedGroup *group)
+{
+    int64_t interval_ns =
+        (int64_t)group->task->daemon->settings->status_poll_ms * HR_NS_PER_MS;
+
+    if (group->rank != 0) {
+        interval_ns *= STANDBY_FACTOR;
+    }
+    return interval_ns * 3 / 4 +
+           (int64_t)HrRng_Below(&group->task->rng,
+                                (uint64_t)interval_ns / 2 + 1);
+}
+
+/* Schedules the next poll of a server. */
+static void
+schedule_poll(HrSchedServer *server)
+{
+    HrSchedGroup *group = server->group;
+
+    HrLoop_SetTimer(group->task->loop, server->timer,
+                    HrLoop_NowNs(group->task->loop) + poll_interval_ns(group));
+}
+
+/* Hands a status report to the state machine. */
+static void
+hand_status(HrSchedServer *server, const HrBackendStatus *status)
+{
+    HrSchedEvent event = {.kind = HR_SCHED_STATUS_REPORT};
+    HrSchedStatusReport *report = &event.u.status_report;
+    uint64_t versions[HR_BACKEND_MAX_VERSIONS];
+    uint32_t i;
+
+    report->server = server->name;
+    report->requested_ns = server->requested_ns;
+    report->failed = status == NULL;
+    if (status != NULL) {
+        for (i = 0; i < status->version_count; i++) {
+            versions[i] = status->versions[i].version;
+        }
+        report->start_id = status->start_id;
+        report->state = status->state;
+        report->load = status->load;
+        report->slots = status->slots;
+        report->connections = status->connections;
+        report->versions = versions;
+        report->version_count = status->version_count;
+    }
+    HrSchedGroup_Handle(server->group, &event);
+}
+
+/* Returns the decoded status, or NULL when it is not valid or comes from a
+ * server with another name, which has taken over the address. */
+static HrBackendStatus *
+decode_status(HrSchedServer *server, const HrHttpAnswer *http)
+{
+    HrBackendStatus *status = talloc_zero(server, HrBackendStatus);
+
+    if (status == NULL || http->error != HR_OK ||
+        HrBackend_DecodeStatus(status, http->status, http->body, status,
+                               NULL) != HR_OK ||
+        strcmp(status->server, server->name) != 0) {
+        talloc_free(status);
+        return NULL;
+    }
+    return status;
+}
+
+/* Receives the end of a poll. */
+static void
+handle_poll_end(void *arg, const HrHttpAnswer *http)
+{
+    HrSchedServer *server = arg;
+    HrBackendStatus *status = decode_status(server, http);
+    bool first = server->status == NULL && status != NULL;
+
+    server->poll = NULL;
+    if (status != NULL) {
+        talloc_free(server->status);
+        server->status = status;
+    }
+    else if (HrLoop_NowNs(server->group->task->loop) - server->requested_ns >
+             STATUS_MAX_POLLS * POLL_TIMEOUT_NS) {
+        TALLOC_FREE(server->status);
+    }
+    schedule_poll(server);
+    hand_status(server, status);
+    if (first) {
+        HrSchedGroup_Report(server->group);
+    }
+}
+
+/* Polls a server. */
+static void
+fire_poll(void *arg)
+{
+    HrSchedServer *server = arg;
+    HrSchedGroup *group = server->group;
+    char url[160];
+    HrHttpRequest http = {.method = "GET",
+                          .url = url,
+                          .timeout_ns = POLL_TIMEOUT_NS,
+                          .connect_timeout_ns = POLL_TIMEOUT_NS};
+
+    if (!server->present || !group->placed || server->poll != NULL) {
+        return;
+    }
+    snprintf(url, sizeof(url), "http://%s%s", server->address,
+             HR_BACKEND_STATUS_PATH);
+    server->requested_ns = HrLoop_NowNs(group->task->loop);
+    server->poll =
+        HrHttpClient_Start(group->client, &http, handle_poll_end, server);
+    if (server->poll == NULL) {
+        schedule_poll(server);
+    }
+}
+
+/* Returns the server with a name and address, or NULL. */
+static HrSchedServer *
+find_server(HrSchedGroup *group, const char *name, const char *address)
+{
+    HrSchedServer *server;
+
+    for (server = group->servers; server != NULL; server = server->next) {
+        if (strcmp(server->name, name) == 0 &&
+            strcmp(server->address, address) == 0) {
+            return server;
+        }
+    }
+    return NULL;
+}
+
+/* Adds a server. */
+static void
+add_server(HrSchedGroup *group, const HrServer *row)
+{
+    HrSchedServer *server = talloc_zero(group, HrSchedServer);
+
+    if (server == NULL) {
+        return;
+    }
+    server->group = group;
+    server->name = talloc_strdup(server, row->name);
+    server->address = talloc_strdup(server, row->address);
+    server->timer = HrLoop_AddTimer(group->task->loop, fire_poll, server);
+    if (server->name == NULL || server->address == NULL ||
+        server->timer == NULL) {
+        HrLoop_RemoveTimer(group->task->loop, server->timer);
+        talloc_free(server);
+        return;
+    }
+    server->present = true;
+    server->next = group->servers;
+    group->servers = server;
+}
+
+/* Removes the servers that the tables no longer name. */
+static void
+remove_absent(HrSchedGroup *group)
+{
+    HrSchedServer **link = &group->servers;
+
+    while (*link != NULL) {
+        HrSchedServer *server = *link;
+
+        if (server->present) {
+            link = &server->next;
+            continue;
+        }
+        *link = server->next;
+        if (server->poll != NULL) {
+            HrHttpCall_Cancel(server->poll);
+        }
+        HrLoop_RemoveTimer(group->task->loop, server->timer);
+        talloc_free(server);
+    }
+}
+
+/* Polls all servers now, or only those without a status. */
+void
+HrSchedGroup_PollSoon(HrSchedGroup *group, bool all)
+{
+    HrSchedServer *server;
+
+    for (server = group->servers; server != NULL; server = server->next) {
+        if (server->poll == NULL && (all || server->status == NULL)) {
+            HrLoop_SetTimer(group->task->loop, server->timer,
+                            HrLoop_NowNs(group->task->loop));
+        }
+    }
+}
+
+/* Makes the polled servers those of the pool's row. */
+void
+HrSchedGroup_SetServers(HrSchedGroup *group, const HrPool *pool)
+{
+    HrSchedServer *server;
+    uint32_t i;
+
+    for (server = group->servers; server != NULL; server = server->next) {
+        server->present = false;
+    }
+    for (i = 0; i < pool->server_count; i++) {
+        const HrServer *row = &pool->servers[i];
+
+        if (strcmp(row->group, group->name) != 0) {
+            continue;
+        }
+        server = find_server(group, row->name, row->address);
+        if (server != NULL) {
+            server->present = true;
+        }
+        else {
+            add_server(group, row);
+        }
+    }
+    remove_absent(group);
+    HrSchedGroup_PollSoon(group, false);
+    HrLoop_SetTimer(group->task->loop, group->report_timer,
+                    HrLoop_NowNs(group->task->loop) + REPORT_INTERVAL_NS);
+}
+
+/* Adds what one server holds to the versions of the group. */
+static void
+merge_status(HrMessage *message, const HrSchedGroup *group,
+             const HrBackendStatus *status, HrGroupVersion *versions,
+             uint32_t *count)
+{
+    uint32_t i, j, k;
+
+    for (i = 0; i < status->version_count; i++) {
+        const HrBackendVersion *held = &status->versions[i];
+
+        for (j = 0; j < *count && versions[j].version != held->version; j++) {
+        }
+        if (j == HR_BACKEND_MAX_VERSIONS) {
+            continue;
+        }
+        if (j == *count) {
+            versions[j].version = held->version;
+            versions[j].live_servers = 0;
+            versions[j].shard_count = held->shard_count;
+            versions[j].shards = talloc_memdup(
+                message, held->shards, held->shard_count * sizeof(HrShard));
+            if (versions[j].shards == NULL) {
+                continue;
+            }
+            for (k = 0; k < held->shard_count; k++) {
+                versions[j].shards[k].name =
+                    HrMessage_CopyText(message, held->shards[k].name);
+                versions[j].shards[k].group =
+                    HrMessage_CopyText(message, group->name);
+            }
+            (*count)++;
+        }
+        versions[j].live_servers++;
+    }
+}
+
+/* Sends what the servers hold to the pool home. */
+void
+HrSchedGroup_Report(HrSchedGroup *group)
+{
+    HrMessage *message;
+    HrGroupVersion *versions;
+    const HrSchedServer *server;
+    uint32_t count = 0;
+
+    if (!group->placed) {
+        return;
+    }
+    HrLoop_SetTimer(group->task->loop, group->report_timer,
+                    HrLoop_NowNs(group->task->loop) + REPORT_INTERVAL_NS);
+    if (group->rank != 0) {
+        return;
+    }
+    message = HrMessage_Create(HR_MESSAGE_GROUP_REPORT);
+    versions =
+        talloc_zero_array(message, HrGroupVersion, HR_BACKEND_MAX_VERSIONS);
+    if (message == NULL || versions == NULL) {
+        talloc_free(message);
+        return;
+    }
+    for (server = group->servers; server != NULL; server = server->next) {
+        if (server->status != NULL &&
+            server->status->state != HR_SERVER_DRAINING) {
+            merge_status(message, group, server->status, versions, &count);
+        }
+    }
+    message->u.peer.frame = talloc_zero(message, HrPeerFrame);
+    if (message->u.peer.frame != NULL) {
+        HrPeerGroupReport *report = &message->u.peer.frame->u.group_report;
+
+        message->u.peer.frame->kind = HR_PEER_GROUP_REPORT;
+        report->pool = HrMessage_CopyText(message, group->pool);
+        report->group = HrMessage_CopyText(message, group->name);
+        report->versions = versions;
+        report->version_count = count;
+    }
+    HrTask_Post(group->task, group->task->daemon->control, message);
+}
--- /dev/null
+++ b/src/daemon-sched.c
@@ -0,0 +1,324 @@
+#include "daemon-sched.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "daemon-report.h"
+#include "daemon-sched-group.h"
+
+#define SWEEP_NS HR_NS_PER_S
+
+/* State of a scheduling task. */
+typedef struct SchedTask {
+    HrTask *task;
+    HrPlacement *placement;
+    HrSchedGroup *groups; /* hash by key */
+    uint64_t tables_revision;
+    HrLoopTimer *sweep_timer;
+    bool draining;
+    uint32_t reported_open;
+} SchedTask;
+
+/* Returns a group, or NULL. */
+static HrSchedGroup *
+find_group(SchedTask *state, const char *pool, const char *name)
+{
+    char *key = talloc_asprintf(NULL, "%s\n%s", pool, name);
+    HrSchedGroup *group = NULL;
+
+    if (key != NULL) {
+        HASH_FIND_STR(state->groups, key, group);
+        talloc_free(key);
+    }
+    return group;
+}
+
+/* Returns a group, creating it when needed. */
+static HrSchedGroup *
+obtain_group(SchedTask *state, const char *pool, const char *name)
+{
+    HrSchedGroup *group = find_group(state, pool, name);
+
+    if (group == NULL) {
+        group = HrSchedGroup_Create(state->task, pool, name);
+        if (group != NULL) {
+            HASH_ADD_KEYPTR(hh, state->groups, group->key, strlen(group->key),
+                            group);
+        }
+    }
+    return group;
+}
+
+/* Applies the present tables and members to one group. */
+static void
+update_group(SchedTask *state, const HrPlacedGroup *placed,
+             const HrTables *tables, const HrMemberView *view, bool new_tables)
+{
+    HrDaemon *daemon = state->task->daemon;
+    HrSchedGroup *group;
+    const HrPool *pool;
+    bool is_new;
+
+    if (HrDaemon_SchedTask(daemon, placed->pool, placed->group) !=
+        state->task) {
+        return;
+    }
+    group = find_group(state, placed->pool, placed->group);
+    is_new = group == NULL;
+    if (is_new && HrPlacedGroup_Rank(placed, daemon->daemon_id) < 0) {
+        return;
+    }
+    group = obtain_group(state, placed->pool, placed->group);
+    pool = HrTables_FindPool(tables, placed->pool);
+    if (group == NULL || pool == NULL) {
+        return;
+    }
+    HrSchedGroup_SetRank(group, placed, view);
+    if (is_new || new_tables) {
+        HrSchedGroup_SetPool(group, pool);
+    }
+}
+
+/* Takes the role away from groups that the tables no longer hold. */
+static void
+release_absent(SchedTask *state, const HrMemberView *view)
+{
+    HrSchedGroup *group, *next;
+
+    HASH_ITER (hh, state->groups, group, next) {
+        if (HrPlacement_Find(state->placement, group->pool, group->name) ==
+            NULL) {
+            HrSchedGroup_SetRank(group, NULL, view);
+        }
+    }
+}
+
+/* Frees the groups that have no work left. */
+static void
+free_idle(SchedTask *state)
+{
+    HrSchedGroup *group, *next;
+
+    HASH_ITER (hh, state->groups, group, next) {
+        if (HrSchedGroup_IsIdle(group)) {
+            HASH_DELETE(hh, state->groups, group);
+            talloc_free(group);
+        }
+    }
+}
+
+/* Follows changes of the tables and of the members. */
+static void
+update_groups(SchedTask *state)
+{
+    HrSnapshots *snapshots = state->task->daemon->snapshots;
+    const HrTables *tables = HrSnapshots_Tables(snapshots);
+    const HrMemberView *view = HrSnapshots_Members(snapshots);
+    const HrPlacedGroup *placed = NULL;
+    bool new_tables;
+
+    if (tables == NULL || view == NULL ||
+        !HrPlacement_Update(state->placement, tables, view)) {
+        return;
+    }
+    new_tables = tables->revision != state->tables_revision;
+    state->tables_revision = tables->revision;
+    while ((placed = HrPlacement_Next(state->placement, placed)) != NULL) {
+        update_group(state, placed, tables, view, new_tables);
+    }
+    release_absent(state, view);
+}
+
+/* Declines a sub-request of a group that this daemon does not schedule. */
+static void
+decline_request(SchedTask *state, const HrOrigin *origin,
+                const HrSubRequest *request)
+{
+    HrSubAnswer answer = {.query = request->query,
+                          .sub_id = request->sub_id,
+                          .shard = request->shard,
+                          .version = request->version,
+                          .outcome = HR_OUTCOME_DECLINED,
+                          .reason = HR_REASON_NOT_SCHEDULER};
+
+    HrSchedGroup_PostAnswer(state->task, origin, &answer);
+}
+
+/* Takes sub-requests in. */
+static void
+submit_requests(SchedTask *state, const HrMessage *message)
+{
+    const HrSubRequest *requests = message->u.requests.requests;
+    uint32_t i;
+
+    for (i = 0; i < message->u.requests.request_count; i++) {
+        HrSchedGroup *group =
+            find_group(state, requests[i].pool, requests[i].group);
+
+        if (group == NULL) {
+            decline_request(state, &message->u.requests.origin, &requests[i]);
+            continue;
+        }
+        HrSchedGroup_Submit(group, &message->u.requests.origin, &requests[i]);
+    }
+}
+
+/* Withdraws a sub-request. */
+static void
+cancel_request(SchedTask *state, const HrPeerSubCancel *cancel)
+{
+    HrSchedGroup *group = find_group(state, cancel->pool, cancel->group);
+
+    if (group != NULL) {
+        HrSchedGroup_Cancel(group, &cancel->query, cancel->sub_id,
+                            cancel->reason);
+    }
+}
+
+/* Withdraws the sub-requests of a link that has ended. */
+static void
+cancel_link(SchedTask *state, uint64_t link)
+{
+    HrSchedGroup *group, *next;
+
+    HASH_ITER (hh, state->groups, group, next) {
+        HrSchedGroup_CancelLink(group, link);
+    }
+}
+
+/* Notes a handover by another daemon. */
+static void
+accept_handover(SchedTask *state, const HrMessage *message)
+{
+    const HrPeerHandover *handover = &message->u.peer.frame->u.handover;
+    HrSchedGroup *group = find_group(state, handover->pool, handover->group);
+
+    if (group != NULL) {
+        HrSchedGroup_HandedOver(group, message->u.peer.from_id);
+    }
+}
+
+/* Hands every group over and tells the control task. */
+static void
+hand_over_all(SchedTask *state)
+{
+    HrSchedGroup *group, *next;
+
+    HASH_ITER (hh, state->groups, group, next) {
+        HrSchedGroup_SendHandover(group, true);
+    }
+    HrTask_Post(state->task, state->task->daemon->control,
+                HrMessage_Create(HR_MESSAGE_HANDED_OVER));
+}
+
+/* Returns the number of sub-requests and attempts that have not ended. */
+static uint32_t
+count_open(const SchedTask *state)
+{
+    const HrSchedGroup *group;
+    uint32_t open = 0;
+
+    for (group = state->groups; group != NULL; group = group->hh.next) {
+        open += HASH_COUNT(group->owed) + HASH_COUNT(group->attempts);
+    }
+    return open;
+}
+
+/* Tells the control task how much work is open. */
+static void
+report_load(SchedTask *state)
+{
+    HrMessage *message;
+    uint32_t open = count_open(state);
+
+    if (open == state->reported_open) {
+        return;
+    }
+    state->reported_open = open;
+    message = HrMessage_Create(HR_MESSAGE_LOAD);
+    if (message != NULL) {
+        message->u.load.task = state->task;
+        message->u.load.open = open;
+    }
+    HrTask_Post(state->task, state->task->daemon->control, message);
+}
+
+/* Frees what is no longer needed, once a second. */
+static void
+fire_sweep(void *arg)
+{
+    SchedTask *state = arg;
+
+    update_groups(state);
+    free_idle(state);
+    report_load(state);
+    HrLoop_SetTimer(state->task->loop, state->sweep_timer,
+                    HrLoop_NowNs(state->task->loop) + SWEEP_NS);
+}
+
+/* Handles a message of another task. */
+static void
+handle_message(void *arg, HrMessage *message)
+{
+    SchedTask *state = arg;
+
+    switch (message->kind) {
+    case HR_MESSAGE_SUB_REQUESTS:
+        update_groups(state);
+        submit_requests(state, message);
+        break;
+    case HR_MESSAGE_SUB_CANCEL:
+        cancel_request(state, &message->u.cancel.cancel);
+        break;
+    case HR_MESSAGE_LINK_CLOSED:
+        cancel_link(state, message->u.link);
+        break;
+    case HR_MESSAGE_SNAPSHOT:
+        update_groups(state);
+        break;
+    case HR_MESSAGE_HANDOVER:
+        accept_handover(state, message);
+        break;
+    case HR_MESSAGE_HAND_OVER:
+        hand_over_all(state);
+        break;
+    case HR_MESSAGE_REPORT_WANTED:
+        HrReport_SendSched(state->task, message->u.report.number,
+                           state->groups);
+        break;
+    default:
+        break;
+    }
+    talloc_free(message);
+}
+
+/* Empties the hash before its groups go. */
+static int
+destroy_state(SchedTask *state)
+{
+    HASH_CLEAR(hh, state->groups);
+    return 0;
+}
+
+/* Prepares a scheduling task. */
+int
+HrSchedTask_Init(HrTask *task)
+{
+    SchedTask *state = talloc_zero(task, SchedTask);
+
+    if (state == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    state->task = task;
+    state->placement = HrPlacement_Create(state);
+    state->sweep_timer = HrLoop_AddTimer(task->loop, fire_sweep, state);
+    if (state->placement == NULL || state->sweep_timer == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    talloc_set_destructor(state, destroy_state);
+    task->state = state;
+    task->handle = handle_message;
+    HrLoop_SetTimer(task->loop, state->sweep_timer,
+                    HrLoop_NowNs(task->loop) + SWEEP_NS);
+    return HR_OK;
+}
--- a/src/trans-http-client.c
+++ b/src/trans-http-client.c
@@ -240,6 +240,14 @@
     return client;
 }
 
+/* Changes the number of connections per host; 0: no limit. */
+void
+HrHttpClient_SetConnections(HrHttpClient *client, uint32_t count)
+{
+    curl_multi_setopt(client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      (long)count);
+}
+
 /* Makes room for more bytes of the answer. */
 static int
 reserve_answer(HrHttpCall *call, size_t length)
--- a/src/trans-http-client.h
+++ b/src/trans-http-client.h
@@ -54,6 +54,9 @@
 HrHttpClient *HrHttpClient_Create(const void *parent, HrLoop *loop,
                                   const HrHttpClientConfig *config);
 
+/* Changes the number of connections per host; 0: no limit. */
+void HrHttpClient_SetConnections(HrHttpClient *client, uint32_t count);
+
 /* Starts a request; fn is called exactly once unless the call is cancelled.
  * Returns NULL when memory runs out. */
 HrHttpCall *HrHttpClient_Start(HrHttpClient *client,
