--- /dev/null
+++ b/src/coord-burn-report.c
@@ -0,0 +1,253 @@
+#include "coord-burn-report.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#define SUB_COUNT (1 << HR_BURN_HIST_SUB_BITS)
+
+/* Returns the bucket of a latency; those outside the range go to the first or
+ * the last one. */
+static uint32_t
+find_bucket(int64_t latency_ns)
+{
+    uint64_t value = latency_ns < 0 ? 0 : (uint64_t)latency_ns;
+    uint32_t top;
+
+    if (value < (UINT64_C(1) << HR_BURN_HIST_MIN_BITS)) {
+        return 0;
+    }
+    if (value >= (UINT64_C(1) << HR_BURN_HIST_MAX_BITS)) {
+        return HR_BURN_HIST_BUCKETS - 1;
+    }
+    top = 63 - (uint32_t)__builtin_clzll(value);
+    return ((top - HR_BURN_HIST_MIN_BITS) << HR_BURN_HIST_SUB_BITS) +
+           (uint32_t)((value >> (top - HR_BURN_HIST_SUB_BITS)) - SUB_COUNT);
+}
+
+/* Returns the largest latency that falls into a bucket. */
+static int64_t
+bucket_upper(uint32_t bucket)
+{
+    uint32_t top = HR_BURN_HIST_MIN_BITS + (bucket >> HR_BURN_HIST_SUB_BITS);
+    int64_t sub = bucket & (SUB_COUNT - 1);
+
+    return ((SUB_COUNT + sub + 1) << (top - HR_BURN_HIST_SUB_BITS)) - 1;
+}
+
+/* Counts a latency. */
+void
+HrBurnPoint_Record(HrBurnPoint *point, int64_t latency_ns)
+{
+    point->latencies[find_bucket(latency_ns)]++;
+}
+
+/* Returns the upper edge of the bucket of quantile q in [0, 1]; 0 when the
+ * point is empty. */
+int64_t
+HrBurnPoint_Quantile(const HrBurnPoint *point, double q)
+{
+    uint64_t total = 0, seen = 0, rank;
+    uint32_t i;
+
+    for (i = 0; i < HR_BURN_HIST_BUCKETS; i++) {
+        total += point->latencies[i];
+    }
+    if (total == 0) {
+        return 0;
+    }
+    rank = (uint64_t)(q * (double)total);
+    if (rank >= total) {
+        rank = total - 1;
+    }
+    for (i = 0; i + 1 < HR_BURN_HIST_BUCKETS; i++) {
+        seen += point->latencies[i];
+        if (seen > rank) {
+            break;
+        }
+    }
+    return bucket_upper(i);
+}
+
+/* Adds counts. */
+void
+HrBurnCounts_Add(HrBurnCounts *counts, const HrBurnCounts *other)
+{
+    counts->answers += other->answers;
+    counts->slow_answers += other->slow_answers;
+    counts->shards += other->shards;
+    counts->missing_shards += other->missing_shards;
+}
+
+/* Adds the counts and latencies of another point of the same minute. */
+void
+HrBurnPoint_Merge(HrBurnPoint *point, const HrBurnPoint *other)
+{
+    uint32_t i;
+
+    HrBurnCounts_Add(&point->counts, &other->counts);
+    for (i = 0; i < HR_BURN_HIST_BUCKETS; i++) {
+        point->latencies[i] += other->latencies[i];
+    }
+}
+
+/* Returns the share of needed shards that contributed; 1 when none was
+ * needed. */
+double
+HrBurnCounts_Coverage(const HrBurnCounts *counts)
+{
+    if (counts->shards == 0) {
+        return 1;
+    }
+    return 1 - (double)counts->missing_shards / (double)counts->shards;
+}
+
+/* Returns the rate at which bad events use the budget that a target leaves. */
+static double
+burn_rate(uint64_t bad, uint64_t total, double target)
+{
+    double budget = 1 - target, rate;
+
+    if (bad == 0 || total == 0) {
+        return 0;
+    }
+    if (budget <= 0) {
+        return HR_BURN_MAX_RATE;
+    }
+    rate = (double)bad / (double)total / budget;
+    return rate < HR_BURN_MAX_RATE ? rate : HR_BURN_MAX_RATE;
+}
+
+/* Returns the burn rates of an entry. */
+HrBurnRates
+HrBurnEntry_Rates(const HrBurnEntry *entry)
+{
+    const HrBurnCounts *recent = &entry->short_window;
+    const HrBurnCounts *hour = &entry->long_window;
+    const HrBurnObjective *objective = &entry->objective;
+    HrBurnRates rates = {
+        .latency_short = burn_rate(recent->slow_answers, recent->answers,
+                                   objective->latency_target),
+        .latency_long = burn_rate(hour->slow_answers, hour->answers,
+                                  objective->latency_target),
+        .coverage_short = burn_rate(recent->missing_shards, recent->shards,
+                                    objective->coverage_target),
+        .coverage_long = burn_rate(hour->missing_shards, hour->shards,
+                                   objective->coverage_target),
+    };
+
+    return rates;
+}
+
+/* Returns true if an objective burns fast over both windows. */
+bool
+HrBurnRates_IsFast(const HrBurnRates *rates)
+{
+    return (rates->latency_short >= HR_BURN_FAST_RATE &&
+            rates->latency_long >= HR_BURN_FAST_RATE) ||
+           (rates->coverage_short >= HR_BURN_FAST_RATE &&
+            rates->coverage_long >= HR_BURN_FAST_RATE);
+}
+
+/* Creates an empty report of no daemon; returns NULL when memory runs out. */
+HrBurnReport *
+HrBurnReport_Create(const void *parent, int64_t wall_ns)
+{
+    HrBurnReport *report = talloc_zero(parent, HrBurnReport);
+
+    if (report != NULL) {
+        report->wall_ns = wall_ns;
+    }
+    return report;
+}
+
+/* Returns the entry of a route and pool, or NULL. */
+static HrBurnEntry *
+find_entry(const HrBurnReport *report, const char *route, const char *pool)
+{
+    uint32_t i;
+
+    for (i = 0; i < report->entry_count; i++) {
+        HrBurnEntry *entry = report->entries[i];
+
+        if (strcmp(entry->route, route) == 0 &&
+            strcmp(entry->pool, pool) == 0) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+/* Returns the entry of a route and pool, which is added when it is absent. */
+HrBurnEntry *
+HrBurnReport_Entry(HrBurnReport *report, const char *route, const char *pool)
+{
+    HrBurnEntry *entry = find_entry(report, route, pool), **grown;
+    int64_t last_minute = report->wall_ns / HR_BURN_POINT_NS;
+    uint32_t i;
+
+    if (entry != NULL) {
+        return entry;
+    }
+    grown = talloc_realloc(report, report->entries, HrBurnEntry *,
+                           report->entry_count + 1);
+    if (grown == NULL) {
+        return NULL;
+    }
+    report->entries = grown;
+    entry = talloc_zero(report, HrBurnEntry);
+    if (entry == NULL) {
+        return NULL;
+    }
+    entry->route = talloc_strdup(entry, route);
+    entry->pool = talloc_strdup(entry, pool);
+    if (entry->route == NULL || entry->pool == NULL) {
+        talloc_free(entry);
+        return NULL;
+    }
+    for (i = 0; i < HR_BURN_POINTS; i++) {
+        entry->points[i].minute = last_minute - (HR_BURN_POINTS - 1) + i;
+    }
+    grown[report->entry_count++] = entry;
+    return entry;
+}
+
+/* Adds an entry of another daemon. */
+static void
+merge_entry(HrBurnEntry *entry, const HrBurnEntry *other)
+{
+    int64_t shift = other->points[0].minute - entry->points[0].minute;
+    int64_t i;
+
+    if (other->objective.revision >= entry->objective.revision) {
+        entry->objective = other->objective;
+    }
+    HrBurnCounts_Add(&entry->short_window, &other->short_window);
+    HrBurnCounts_Add(&entry->long_window, &other->long_window);
+    for (i = 0; i < HR_BURN_POINTS; i++) {
+        int64_t position = i + shift;
+
+        if (position >= 0 && position < HR_BURN_POINTS) {
+            HrBurnPoint_Merge(&entry->points[position], &other->points[i]);
+        }
+    }
+}
+
+/* Adds the report of another daemon. */
+int
+HrBurnReport_Merge(HrBurnReport *report, const HrBurnReport *other)
+{
+    uint32_t i;
+
+    for (i = 0; i < other->entry_count; i++) {
+        const HrBurnEntry *source = other->entries[i];
+        HrBurnEntry *entry =
+            HrBurnReport_Entry(report, source->route, source->pool);
+
+        if (entry == NULL) {
+            return HR_ERR_NO_MEMORY;
+        }
+        merge_entry(entry, source);
+    }
+    report->daemons += other->daemons;
+    return HR_OK;
+}
--- a/src/proto-fields.c
+++ b/src/proto-fields.c
@@ -10,7 +10,7 @@
 /* Returns true if brackets nest deeper than permitted. The check precedes the
  * parser, which would recurse. */
 static bool
-is_too_deep(const char *text, size_t length_bytes)
+is_too_deep(const char *text, size_t length_bytes, uint32_t max_depth)
 {
     uint32_t depth = 0;
     bool in_string = false;
@@ -31,7 +31,7 @@
             in_string = true;
         }
         else if (c == '[' || c == '{') {
-            if (++depth > HR_JSON_MAX_DEPTH) {
+            if (++depth > max_depth) {
                 return true;
             }
         }
@@ -54,7 +54,7 @@
                            "%s has %zu bytes; send at most %zu", what,
                            length_bytes, limit_bytes);
     }
-    if (is_too_deep(text, length_bytes)) {
+    if (is_too_deep(text, length_bytes, HR_JSON_MAX_DEPTH)) {
         return HrError_Set(err, HR_ERR_RANGE,
                            "%s is nested too deep; use at most %d levels",
                            what, HR_JSON_MAX_DEPTH);
@@ -75,14 +75,16 @@
     return HR_OK;
 }
 
-/* Returns true if the bytes are one JSON value of permitted depth. */
+/* Returns true if the bytes are one JSON value that nests at most
+ * HR_JSON_MAX_PAYLOAD_DEPTH levels. */
 bool
 HrJson_IsValue(HrBytes bytes)
 {
     const char *text = (const char *)bytes.data;
     json_t *value;
 
-    if (text == NULL || is_too_deep(text, bytes.length_bytes)) {
+    if (text == NULL ||
+        is_too_deep(text, bytes.length_bytes, HR_JSON_MAX_PAYLOAD_DEPTH)) {
         return false;
     }
     value = json_loadb(text, bytes.length_bytes,
--- a/src/proto-fields.h
+++ b/src/proto-fields.h
@@ -12,6 +12,8 @@
 /* Strict reading of JSON objects and writing of JSON text, for the codecs. */
 
 #define HR_JSON_MAX_DEPTH 32
+/* An answer nests payloads in further levels, so they are limited to less. */
+#define HR_JSON_MAX_PAYLOAD_DEPTH 28
 #define HR_FIELDS_MAX 24
 
 /* Reads the fields of one object. After the first error every further call
@@ -40,7 +42,8 @@
 int HrJson_Load(const char *text, size_t length_bytes, size_t limit_bytes,
                 const char *what, json_t **object, HrError *err);
 
-/* Returns true if the bytes are one JSON value of permitted depth. */
+/* Returns true if the bytes are one JSON value that nests at most
+ * HR_JSON_MAX_PAYLOAD_DEPTH levels. */
 bool HrJson_IsValue(HrBytes bytes);
 
 /* Starts reading an object; value may be of another type or NULL. */
