--- a/src/proto-burn.c
+++ b/src/proto-burn.c
@@ -182,6 +182,12 @@
     minute = HrFields_Integer(&fields, "minute", true, first,
                               first + HR_BURN_POINTS - 1, first);
     point = &entry->points[minute - first];
+    if (point->counts.answers > 0) {
+        HrFields_Fail(&fields, HR_ERR_DUPLICATE,
+                      "burn point of minute %lld is given twice; check the "
+                      "daemon's version",
+                      (long long)minute);
+    }
     point->counts = read_counts(&fields, "counts");
     read_latencies(&fields, point);
     HrFields_Integer(&fields, "p50_us", true, 0, INT64_MAX, 0);
--- a/src/proto-burn.h
+++ b/src/proto-burn.h
@@ -8,7 +8,8 @@
 /* JSON of service-level objective reports, GET /v1/burn. */
 
 #define HR_BURN_REPORT_MAX_BYTES (64u << 20)
-#define HR_BURN_MAX_ENTRIES 4096
+/* An entry takes 42 KB, so a decoded report takes at most 21 MB. */
+#define HR_BURN_MAX_ENTRIES 512
 
 /* Encodes a report, with the burn rates and the quantiles of each minute, as a
  * talloc child of parent; NULL when memory runs out. */
