--- a/src/coord-config-internal.h
+++ b/src/coord-config-internal.h
@@ -34,6 +34,8 @@
 typedef struct HrConfigPeers {
     uint64_t *ids; /* members that are not dead, without this daemon */
     uint32_t count;
+    bool has_members; /* a first member view has arrived */
+    bool has_answer;  /* a peer has sent a message since the start */
     int64_t next_compare_ns;
     bool pull_open;
     int64_t pull_end_ns;
--- a/src/coord-config-peer.c
+++ b/src/coord-config-peer.c
@@ -43,6 +43,7 @@
     talloc_free(peers->ids);
     peers->ids = ids;
     peers->count = count;
+    peers->has_members = true;
 }
 
 /* Queues a message about the tables held. */
@@ -249,6 +250,7 @@
                             const HrConfigMessage *message)
 {
     config->peers.last_answer_ns = config->now_ns;
+    config->peers.has_answer = true;
     switch (message->type) {
     case HR_CONFIG_MESSAGE_HINT:
         handle_hint(config, from_id, message);
--- a/src/coord-config.c
+++ b/src/coord-config.c
@@ -279,6 +279,22 @@
     return config->known_revision;
 }
 
+/* Returns 0 if an edit may be started on this daemon, or HR_ERR_UNAVAILABLE
+ * before the first peer has answered: without knowing the revision in force,
+ * the daemon could edit a store that has lost its newest tables. */
+int
+HrConfig_CheckEditable(const HrConfig *config, HrError *err)
+{
+    if (config->peers.has_members &&
+        (config->peers.count == 0 || config->peers.has_answer)) {
+        return HR_OK;
+    }
+    return HrError_Set(err, HR_ERR_UNAVAILABLE,
+                       "the edit was not made: this daemon has not yet "
+                       "compared its tables with another one; repeat the "
+                       "edit in a few seconds or on another daemon");
+}
+
 /* Returns the state that the operator listener reports. */
 HrConfigStatus
 HrConfig_Status(const HrConfig *config, int64_t now_ns)
--- a/src/coord-config.h
+++ b/src/coord-config.h
@@ -153,6 +153,11 @@
  * is refused when the store is older than that. */
 uint64_t HrConfig_KnownRevision(const HrConfig *config);
 
+/* Returns 0 if an edit may be started on this daemon, or HR_ERR_UNAVAILABLE
+ * before the first peer has answered: without knowing the revision in force,
+ * the daemon could edit a store that has lost its newest tables. */
+int HrConfig_CheckEditable(const HrConfig *config, HrError *err);
+
 /* Returns the state that the operator listener reports. */
 HrConfigStatus HrConfig_Status(const HrConfig *config, int64_t now_ns);
 
