--- a/src/coord-claim-evaluate.c
+++ b/src/coord-claim-evaluate.c
@@ -76,8 +76,14 @@
 evaluate_recorded_ask(HrClaimOwner *owner, const HrClaimMessage *ask,
                       const HrClaimRecord *record)
 {
-    if (record->state != HR_CLAIM_HELD) {
+    switch (record->state) {
+    case HR_CLAIM_HELD:
+        break;
+    case HR_CLAIM_DONE:
+    case HR_CLAIM_UNKNOWN:
         return reply_recorded(owner, ask, record);
+    case HR_CLAIM_RELEASED:
+        return HrClaimOwner_Refuse(owner, ask, HR_REASON_EXPIRED, true);
     }
     if (HrClaimHolderId_Equals(&record->holder, &ask->holder)) {
         return reply_verdict(owner, ask, HR_CLAIM_VERDICT_GRANTED);
@@ -101,14 +107,11 @@
     if (ask->expires_ms <= partition->committed->watermark_ms) {
         return HrClaimOwner_Refuse(owner, ask, HR_REASON_EXPIRED, false);
     }
-    if (wall_ms < ask->expires_ms &&
-        ask->expires_ms - wall_ms <= HR_CLAIM_MAX_AHEAD_MS) {
-        return HR_CLAIM_FINDING_CHANGE;
+    if (ask->expires_ms - wall_ms > HR_CLAIM_MAX_AHEAD_MS) {
+        return HrClaimOwner_Refuse(owner, ask, HR_REASON_EXPIRED,
+                                   ask->first_copy);
     }
-    if (partition->confirmed_ns < op->arrived_ns) {
-        return HR_CLAIM_FINDING_READ;
-    }
-    return HrClaimOwner_Refuse(owner, ask, HR_REASON_EXPIRED, true);
+    return HR_CLAIM_FINDING_CHANGE;
 }
 
 /* Evaluates an outcome against the committed value. The first outcome stays;
@@ -162,17 +165,21 @@
     return record;
 }
 
-/* Adds a claim to the proposed value; one that does not fit is refused. */
+/* Adds a claim to the proposed value; one that does not fit is refused. An
+ * expired id is closed instead: "it did not run" is only true if no owner
+ * with a slower wall clock can grant it after the answer. */
 static HrClaimFinding
 propose_claim(HrClaimOwner *owner, HrClaimPartition *partition,
-              const HrClaimOp *op, uint64_t *size_bytes)
+              const HrClaimOp *op, int64_t wall_ms, uint64_t *size_bytes)
 {
+    bool expired = wall_ms >= op->message.expires_ms;
     HrClaimRecord *record;
 
     if (HrClaimValue_Find(partition->proposed, op->message.request_id)) {
         return HR_CLAIM_FINDING_WAIT;
     }
-    record = create_record(owner, &op->message, HR_CLAIM_HELD);
+    record = create_record(owner, &op->message,
+                           expired ? HR_CLAIM_RELEASED : HR_CLAIM_HELD);
     if (record == NULL ||
         *size_bytes + HrClaimRecord_SizeBound(record) > HR_CLAIM_VALUE_BYTES ||
         HrClaimValue_Put(partition->proposed, record) != HR_OK) {
@@ -225,10 +232,11 @@
 /* Applies an op to the proposed value, whose size bound is size_bytes. */
 HrClaimFinding
 HrClaimOwner_Propose(HrClaimOwner *owner, HrClaimPartition *partition,
-                     const HrClaimOp *op, uint64_t *size_bytes)
+                     const HrClaimOp *op, int64_t wall_ms,
+                     uint64_t *size_bytes)
 {
     if (op->message.kind == HR_CLAIM_MESSAGE_ASK) {
-        return propose_claim(owner, partition, op, size_bytes);
+        return propose_claim(owner, partition, op, wall_ms, size_bytes);
     }
     return propose_outcome(owner, partition, op, size_bytes);
 }
--- a/src/coord-claim-owner.c
+++ b/src/coord-claim-owner.c
@@ -30,7 +30,8 @@
 /* Applies the pending ops to the proposed value; returns the number of
  * changes. */
 static uint32_t
-propose_changes(HrClaimOwner *owner, HrClaimPartition *partition)
+propose_changes(HrClaimOwner *owner, HrClaimPartition *partition,
+                int64_t wall_ms)
 {
     uint64_t size_bytes = HrClaimValue_SizeBound(partition->proposed);
     uint32_t changes = 0;
@@ -42,7 +43,8 @@
         if (op->phase != HR_CLAIM_OP_PENDING) {
             continue;
         }
-        finding = HrClaimOwner_Propose(owner, partition, op, &size_bytes);
+        finding =
+            HrClaimOwner_Propose(owner, partition, op, wall_ms, &size_bytes);
         if (finding == HR_CLAIM_FINDING_ANSWERED) {
             remove_op(owner, partition, op);
         }
@@ -86,7 +88,7 @@
         return;
     }
     HrClaimValue_DropExpired(partition->proposed, wall_ms);
-    if (propose_changes(owner, partition) > 0) {
+    if (propose_changes(owner, partition, wall_ms) > 0) {
         partition->commit_began_ns = now_ns;
         start_call(owner, partition, HR_CLAIM_OWNER_ACTION_PUT, now_ns);
     }
--- a/src/coord-claim-partition.h
+++ b/src/coord-claim-partition.h
@@ -82,6 +82,7 @@
 /* Applies an op to the proposed value, whose size bound is size_bytes. */
 HrClaimFinding HrClaimOwner_Propose(HrClaimOwner *owner,
                                     HrClaimPartition *partition,
-                                    const HrClaimOp *op, uint64_t *size_bytes);
+                                    const HrClaimOp *op, int64_t wall_ms,
+                                    uint64_t *size_bytes);
 
 #endif
--- a/src/coord-claim.h
+++ b/src/coord-claim.h
@@ -26,7 +26,8 @@
     HR_CLAIM_HELD,     /* claimed; it may be running */
     HR_CLAIM_DONE,     /* it ran */
     HR_CLAIM_UNKNOWN,  /* dispatched; whether it ran will not be known */
-    HR_CLAIM_RELEASED, /* not dispatched, or declined: messages only */
+    HR_CLAIM_RELEASED, /* in a message: not dispatched, or declined; in a
+ record: the id had expired and never runs */
 } HrClaimState;
 
 /* The claim of one request id in a partition's store value. */
--- a/src/proto-claim-value.c
+++ b/src/proto-claim-value.c
@@ -77,7 +77,7 @@
 read_record(const Hickory__ClaimRecord *packed, HrClaimRecord *record,
             HrError *err)
 {
-    if (packed->state > HR_CLAIM_UNKNOWN || packed->expires_ms > INT64_MAX ||
+    if (packed->state > HR_CLAIM_RELEASED || packed->expires_ms > INT64_MAX ||
         packed->result.len > HR_CLAIM_RESULT_BYTES ||
         packed->holder_daemon_id == 0) {
         return HrError_Set(err, HR_ERR_RANGE,
