--- /dev/null
+++ b/tests/test-claim-fleet.c
@@ -0,0 +1,290 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <talloc.h>
+
+#include "common-claims.h"
+
+#define SCHEDULES 100000
+#define FIRST_SEED 1
+#define ALL_DAEMONS ((1U << HR_CLAIMS_DAEMONS) - 1)
+#define FAULTS_END_NS (6 * HR_NS_PER_S)
+#define SCHEDULE_END_NS (16 * HR_NS_PER_S)
+
+/* Queues the copies of a few requests at random daemons. */
+static void
+add_requests(HrClaims *claims, HrRng *rng)
+{
+    uint32_t requests = 1 + (uint32_t)HrRng_Below(rng, 4), i, copy;
+
+    for (i = 0; i < requests; i++) {
+        int64_t time_ns = (int64_t)HrRng_Below(rng, 3 * HR_NS_PER_S);
+        int64_t expires_ms = HrFleet_WallMs(HrClaims_Fleet(claims), 0) +
+                             time_ns / HR_NS_PER_MS + 500 +
+                             (int64_t)HrRng_Below(rng, 8000);
+        uint32_t request = HrClaims_AddRequest(claims, expires_ms);
+        uint32_t copies = 1 + (uint32_t)HrRng_Below(rng, HR_CLAIMS_COPIES);
+
+        for (copy = 0; copy < copies; copy++) {
+            HrClaims_SendCopy(claims, request,
+                              (uint32_t)HrRng_Below(rng, HR_CLAIMS_DAEMONS),
+                              time_ns,
+                              time_ns + 200 * HR_NS_PER_MS +
+                                  (int64_t)HrRng_Below(rng, 2 * HR_NS_PER_S));
+            time_ns += HrRng_ExponentialNs(rng, 700 * HR_NS_PER_MS);
+        }
+    }
+}
+
+/* Gives the store and the network random rates of failure. */
+static void
+set_rates(HrClaims *claims, HrRng *rng)
+{
+    HrFleet *fleet = HrClaims_Fleet(claims);
+    HrClaimsFaults *faults = HrClaims_Faults(claims);
+
+    fleet->loss = HrRng_Chance(rng, 0.5) ? 0.2 * HrRng_Unit(rng) : 0;
+    fleet->duplication = HrRng_Chance(rng, 0.5) ? 0.3 * HrRng_Unit(rng) : 0;
+    fleet->delay_mean_ns = HR_NS_PER_MS * (1 + (int64_t)HrRng_Below(rng, 100));
+    faults->store_lost = HrRng_Chance(rng, 0.5) ? 0.4 * HrRng_Unit(rng) : 0;
+    faults->store_late = HrRng_Chance(rng, 0.5) ? 0.4 * HrRng_Unit(rng) : 0;
+    faults->store_fail = HrRng_Chance(rng, 0.3) ? 0.3 * HrRng_Unit(rng) : 0;
+    faults->decline = 0.1;
+    faults->no_outcome = 0.1;
+}
+
+/* Crashes or starts a daemon. */
+static void
+toggle_daemon(HrClaims *claims, uint32_t daemon)
+{
+    if (HrClaims_Fleet(claims)->daemons[daemon].up) {
+        HrClaims_Crash(claims, daemon);
+    }
+    else {
+        HrClaims_Restart(claims, daemon);
+    }
+}
+
+/* Injects one random fault. */
+static void
+inject_fault(HrClaims *claims, HrRng *rng)
+{
+    HrFleet *fleet = HrClaims_Fleet(claims);
+    uint32_t daemon = (uint32_t)HrRng_Below(rng, HR_CLAIMS_DAEMONS);
+    uint32_t other = (uint32_t)HrRng_Below(rng, HR_CLAIMS_DAEMONS);
+
+    switch (HrRng_Below(rng, 6)) {
+    case 0:
+        toggle_daemon(claims, daemon);
+        break;
+    case 1:
+        HrFleet_Trace(fleet, "daemon %u pauses", daemon);
+        HrFleet_Pause(fleet, daemon,
+                      fleet->now_ns +
+                          HrRng_ExponentialNs(rng, 2 * HR_NS_PER_S));
+        break;
+    case 2:
+        HrFleet_Trace(fleet, "network %u-%u toggles", daemon, other);
+        HrFleet_Cut(fleet, daemon, other,
+                    !fleet->cut[daemon * fleet->daemon_count + other]);
+        break;
+    case 3:
+        fleet->daemons[daemon].wall_offset_ms =
+            (int64_t)HrRng_Below(rng, 240000) - 120000;
+        HrFleet_Trace(fleet, "wall clock of %u jumps", daemon);
+        break;
+    case 4:
+        HrClaims_Faults(claims)->store_down =
+            !HrClaims_Faults(claims)->store_down;
+        HrFleet_Trace(fleet, "store %s",
+                      HrClaims_Faults(claims)->store_down ? "down" : "up");
+        break;
+    default:
+        HrFleet_Trace(fleet, "view of %u changes", daemon);
+        HrClaims_SetView(claims, daemon,
+                         1U << daemon |
+                             (uint32_t)HrRng_Below(rng, ALL_DAEMONS + 1));
+        break;
+    }
+}
+
+/* Ends every fault. */
+static void
+heal_all(HrClaims *claims)
+{
+    HrFleet *fleet = HrClaims_Fleet(claims);
+    HrClaimsFaults none = {0};
+    uint32_t i;
+
+    HrFleet_Heal(fleet);
+    *HrClaims_Faults(claims) = none;
+    for (i = 0; i < HR_CLAIMS_DAEMONS; i++) {
+        HrFleet_Pause(fleet, i, fleet->now_ns);
+        fleet->daemons[i].wall_offset_ms = 0;
+        if (!fleet->daemons[i].up) {
+            HrClaims_Restart(claims, i);
+        }
+    }
+    for (i = 0; i < HR_CLAIMS_DAEMONS; i++) {
+        HrClaims_SetView(claims, i, ALL_DAEMONS);
+    }
+    HrFleet_Trace(fleet, "faults end");
+}
+
+/* Runs requests under random faults, then a fresh one without faults. */
+static HrClaims *
+run_schedule(const void *parent, uint64_t seed, HrClaimsStore store,
+             bool trace)
+{
+    HrClaims *claims = HrClaims_Create(parent, seed, store);
+    HrFleet *fleet = HrClaims_Fleet(claims);
+    HrRng rng = HrRng_FromSeed(~seed);
+    uint32_t faults = (uint32_t)HrRng_Below(&rng, 12), i;
+
+    fleet->trace = trace;
+    add_requests(claims, &rng);
+    set_rates(claims, &rng);
+    for (i = 0; i < faults; i++) {
+        HrFleet_Run(fleet,
+                    fleet->now_ns + HrRng_ExponentialNs(
+                                        &rng, FAULTS_END_NS / (faults + 1)));
+        inject_fault(claims, &rng);
+    }
+    heal_all(claims);
+    HrFleet_Run(fleet, fleet->now_ns + HR_NS_PER_S);
+    HrClaims_SendCopy(
+        claims, HrClaims_AddRequest(claims, HrFleet_WallMs(fleet, 0) + 5000),
+        (uint32_t)(seed % HR_CLAIMS_DAEMONS), fleet->now_ns,
+        fleet->now_ns + 2 * HR_NS_PER_S);
+    HrFleet_Run(fleet, fleet->now_ns + SCHEDULE_END_NS);
+    return claims;
+}
+
+/* Returns true if every check of a schedule holds. */
+static bool
+check_schedule(uint64_t seed, bool trace)
+{
+    void *parent = talloc_new(NULL);
+    HrClaims *claims =
+        run_schedule(parent, seed, HR_CLAIMS_STORE_SHARED, trace);
+    uint32_t last = 0;
+    bool ok;
+
+    while (last + 1 < HR_CLAIMS_IDS &&
+           HrClaims_Request(claims, last + 1)->id[0] != '\0') {
+        last++;
+    }
+    /* The fresh request runs: the claims are not stuck. */
+    ok = HrClaims_Ok(claims) && HrClaims_Request(claims, last)->runs == 1;
+    talloc_free(parent);
+    return ok;
+}
+
+/* Guards against double runs, false "not run", changed outcomes and claims
+ * that stay stuck under crashes, pauses, partitions, loss, duplication, wall
+ * clock jumps, store outages, lost and late store replies and retries. */
+static void
+test_no_double_run(void **state)
+{
+    assert_int_equal(HrFleet_RunSeeds("claims", FIRST_SEED,
+                                      HrFleet_Schedules(SCHEDULES),
+                                      check_schedule),
+                     0);
+}
+
+/* Returns how many of the first schedules run a request twice. */
+static uint32_t
+count_double_runs(HrClaimsStore store, uint32_t schedules)
+{
+    uint32_t i, count = 0;
+
+    for (i = 0; i < schedules; i++) {
+        void *parent = talloc_new(NULL);
+
+        count += HrClaims_DoubleRuns(
+                     run_schedule(parent, FIRST_SEED + i, store, false)) > 0;
+        talloc_free(parent);
+    }
+    return count;
+}
+
+/* Guards against a check that cannot fail: with the owner's memory alone the
+ * same schedules run requests twice. */
+static void
+test_owner_memory_is_caught(void **state)
+{
+    uint32_t count = count_double_runs(HR_CLAIMS_STORE_PRIVATE, 1000);
+
+    print_message("owner memory alone: %u of 1000 schedules run twice\n",
+                  count);
+    assert_true(count > 10);
+}
+
+/* Guards against a check that cannot fail: without compare-and-swap the same
+ * schedules run requests twice. */
+static void
+test_missing_fence_is_caught(void **state)
+{
+    uint32_t count = count_double_runs(HR_CLAIMS_STORE_NO_CAS, 1000);
+
+    print_message("no fence: %u of 1000 schedules run twice\n", count);
+    assert_true(count > 10);
+}
+
+/* Guards against a difference to a single map of ids when nothing fails:
+ * every id runs once, and every copy gets its outcome. */
+static bool
+check_no_faults(uint64_t seed, bool trace)
+{
+    void *parent = talloc_new(NULL);
+    HrClaims *claims = HrClaims_Create(parent, seed, HR_CLAIMS_STORE_SHARED);
+    HrFleet *fleet = HrClaims_Fleet(claims);
+    HrRng rng = HrRng_FromSeed(~seed);
+    uint32_t i, copy;
+    bool ok = true;
+
+    fleet->trace = trace;
+    for (i = 0; i < HR_CLAIMS_IDS; i++) {
+        HrClaims_AddRequest(claims, HrFleet_WallMs(fleet, 0) + 60000);
+        for (copy = 0; copy < HR_CLAIMS_COPIES; copy++) {
+            HrClaims_SendCopy(
+                claims, i, (uint32_t)HrRng_Below(&rng, HR_CLAIMS_DAEMONS),
+                (int64_t)HrRng_Below(&rng, 2 * HR_NS_PER_S), 10 * HR_NS_PER_S);
+        }
+    }
+    HrFleet_Run(fleet, SCHEDULE_END_NS);
+    for (i = 0; i < HR_CLAIMS_IDS; i++) {
+        const HrClaimsRequest *request = HrClaims_Request(claims, i);
+
+        ok = ok && request->runs == 1 &&
+             request->recorded == HR_CLAIMS_COPIES - 1;
+    }
+    ok = ok && HrClaims_Ok(claims);
+    talloc_free(parent);
+    return ok;
+}
+
+static void
+test_same_as_one_map(void **state)
+{
+    assert_int_equal(HrFleet_RunSeeds("claims without faults", FIRST_SEED,
+                                      HrFleet_Schedules(500), check_no_faults),
+                     0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_no_double_run),
+        cmocka_unit_test(test_owner_memory_is_caught),
+        cmocka_unit_test(test_missing_fence_is_caught),
+        cmocka_unit_test(test_same_as_one_map),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
