--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -14,3 +14,48 @@
 HR_COUNTER(sub_answers_dropped, answers,
            "answers that matched no open attempt")
 HR_COUNTER(log_events_suppressed, events, "log events left out by the limit")
+HR_COUNTER(peer_links_opened, links, "peer links that passed the handshake")
+HR_COUNTER(peer_links_closed, links, "peer links closed")
+HR_COUNTER(peer_links_refused, links, "peer links refused at the link limit")
+HR_COUNTER(peer_links_silent, links, "peer links closed for silence")
+HR_COUNTER(peer_bad_length, frames, "peer frames with an invalid length")
+HR_COUNTER(peer_bad_frames, frames, "peer frames that are malformed")
+HR_COUNTER(peer_wrong_cluster, links, "peer links from another cluster")
+HR_COUNTER(peer_failed_proof, links, "peer links with a failed proof")
+HR_COUNTER(peer_queue_full, frames, "peer frames refused by a full queue")
+HR_COUNTER(gather_restarts, queries,
+           "queries restarted because their index version was lost")
+HR_COUNTER(gather_failovers, requests,
+           "sub-requests sent to a further scheduling daemon")
+HR_COUNTER(gather_bad_answers, answers,
+           "sub-answers of a wrong shard or version, or without payload")
+HR_COUNTER(config_store_calls, calls, "reads and watches of the tables")
+HR_COUNTER(config_store_failures, calls,
+           "reads and watches of the tables without an answer")
+HR_COUNTER(config_revisions, revisions, "table revisions put in force")
+HR_COUNTER(config_alarms, alarms,
+           "store found empty, older, invalid or forked")
+HR_COUNTER(config_bad_deltas, messages,
+           "table deltas from peers that did not apply")
+HR_COUNTER(claim_messages, messages, "claim asks and outcomes accepted")
+HR_COUNTER(claim_commits, writes, "claim batches written to the store")
+HR_COUNTER(claim_conflicts, writes,
+           "claim batches refused because another owner wrote first")
+HR_COUNTER(claim_store_failures, calls, "claim store calls that failed")
+HR_COUNTER(claims_granted, claims, "claims granted to this daemon")
+HR_COUNTER(claims_released, claims, "claims given up without a dispatch")
+HR_COUNTER(member_probes_sent, probes, "direct membership probes sent")
+HR_COUNTER(member_probes_failed, probes,
+           "membership probes without a direct or indirect answer")
+HR_COUNTER(member_refutations, refutations,
+           "wrong suspicions of this daemon that it refuted")
+HR_COUNTER(member_pauses, pauses,
+           "times this process was found to have been paused")
+HR_COUNTER(members_refused, members,
+           "member updates refused as malformed or over the limit")
+HR_COUNTER(sub_requests_shed, answers,
+           "attempts that a server shed or refused at its connection cap")
+HR_COUNTER(connections_silent, connections,
+           "connections given up because no answer came in time")
+HR_COUNTER(slots_expired, slots,
+           "slots freed at a deadline because the end was never confirmed")
