--- /dev/null
+++ b/src/daemon-http.c
@@ -0,0 +1,275 @@
+#include "daemon-http.h"
+
+#include <sodium.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "daemon-metrics.h"
+#include "trans-http-server.h"
+
+#define BEARER "Bearer "
+
+/* State of the HTTP task. */
+typedef struct HttpTask {
+    HrTask *task;
+    HrHttpServer *servers[HR_LISTENER_COUNT];
+    uint32_t next_query_task;
+    bool draining;
+    uint32_t reported_open;
+    uint8_t token_hash[crypto_generichash_BYTES];
+} HttpTask;
+
+/* Answers with a text. */
+static void
+answer_text(HttpTask *http, HrListenerId listener, uint64_t number, int status,
+            const char *content_type, const char *text)
+{
+    HrBytes body = {(const uint8_t *)text, strlen(text)};
+
+    HrHttpServer_Answer(http->servers[listener], number, status, content_type,
+                        body);
+}
+
+/* Hands a query to a query task. */
+static void
+forward_query(HttpTask *http, HrHttpExchange *exchange)
+{
+    HrDaemon *daemon = http->task->daemon;
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_QUERY);
+    HrTask *to = daemon->query[http->next_query_task];
+
+    http->next_query_task = (http->next_query_task + 1) % daemon->query_count;
+    if (message == NULL) {
+        answer_text(http, HR_LISTENER_CALLER, HrHttpExchange_Number(exchange),
+                    503, "application/json",
+                    "{\"status\":\"refused\",\"not_run\":true}\n");
+        return;
+    }
+    message->u.query.number = HrHttpExchange_Number(exchange);
+    message->u.query.received_ns = HrLoop_NowNs(http->task->loop);
+    message->u.query.text =
+        HrMessage_CopyBytes(message, HrHttpExchange_Body(exchange));
+    HrTask_Post(http->task, to, message);
+}
+
+/* Hands a request to the control task. */
+static void
+forward_request(HttpTask *http, HrListenerId listener,
+                HrHttpExchange *exchange)
+{
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_REQUEST);
+
+    if (message == NULL) {
+        answer_text(http, listener, HrHttpExchange_Number(exchange), 503,
+                    "application/json", "{\"error\":\"no_memory\"}\n");
+        return;
+    }
+    message->u.request.listener = listener;
+    message->u.request.number = HrHttpExchange_Number(exchange);
+    message->u.request.method =
+        HrMessage_CopyText(message, HrHttpExchange_Method(exchange));
+    message->u.request.path =
+        HrMessage_CopyText(message, HrHttpExchange_Path(exchange));
+    message->u.request.body =
+        HrMessage_CopyBytes(message, HrHttpExchange_Body(exchange));
+    message->u.request.kind =
+        HrMessage_CopyText(message, HrHttpExchange_Query(exchange, "kind"));
+    message->u.request.key =
+        HrMessage_CopyText(message, HrHttpExchange_Query(exchange, "key"));
+    message->u.request.data_centre = HrMessage_CopyText(
+        message, HrHttpExchange_Query(exchange, "data_centre"));
+    message->u.request.region =
+        HrMessage_CopyText(message, HrHttpExchange_Query(exchange, "region"));
+    HrTask_Post(http->task, http->task->daemon->control, message);
+}
+
+/* Answers GET /metrics. */
+static void
+answer_metrics(HttpTask *http, HrListenerId listener, uint64_t number)
+{
+    char *text = HrMetrics_Format(NULL, http->task->daemon->counters);
+
+    answer_text(http, listener, number, text != NULL ? 200 : 503,
+                "text/plain; version=0.0.4", text != NULL ? text : "");
+    talloc_free(text);
+}
+
+/* Returns true if the path and method are those given. */
+static bool
+is_request(const HrHttpExchange *exchange, const char *method,
+           const char *path)
+{
+    return strcmp(HrHttpExchange_Method(exchange), method) == 0 &&
+           strcmp(HrHttpExchange_Path(exchange), path) == 0;
+}
+
+/* Refuses a request for a path that is not served. */
+static void
+refuse_path(HttpTask *http, HrListenerId listener, uint64_t number)
+{
+    HrCounters_Add(http->task->daemon->counters, HR_COUNTER_bad_requests, 1);
+    answer_text(http, listener, number, 404, "application/json",
+                "{\"error\":\"not_found\",\"remedy\":\"see "
+                "hickoryrouterd(8) for the paths and methods\"}\n");
+}
+
+/* Serves a caller. */
+static void
+serve_caller(void *arg, HrHttpExchange *exchange)
+{
+    HttpTask *http = arg;
+    uint64_t number = HrHttpExchange_Number(exchange);
+
+    if (is_request(exchange, "POST", "/v1/query")) {
+        forward_query(http, exchange);
+    }
+    else if (is_request(exchange, "GET", "/v1/entries") ||
+             is_request(exchange, "GET", "/readyz")) {
+        forward_request(http, HR_LISTENER_CALLER, exchange);
+    }
+    else if (is_request(exchange, "GET", "/healthz")) {
+        answer_text(http, HR_LISTENER_CALLER, number, 200, "text/plain",
+                    "ok\n");
+    }
+    else if (is_request(exchange, "GET", "/metrics")) {
+        answer_metrics(http, HR_LISTENER_CALLER, number);
+    }
+    else {
+        refuse_path(http, HR_LISTENER_CALLER, number);
+    }
+}
+
+/* Returns true if the request carries the operator's token. Hashes of equal
+ * length are compared in constant time. */
+static bool
+is_authorized(const HttpTask *http, const HrHttpExchange *exchange)
+{
+    const char *header = HrHttpExchange_Header(exchange, "Authorization");
+    uint8_t hash[crypto_generichash_BYTES];
+
+    if (header == NULL || strncmp(header, BEARER, strlen(BEARER)) != 0) {
+        return false;
+    }
+    header += strlen(BEARER);
+    crypto_generichash(hash, sizeof(hash), (const uint8_t *)header,
+                       strlen(header), NULL, 0);
+    return sodium_memcmp(hash, http->token_hash, sizeof(hash)) == 0;
+}
+
+/* Serves an operator. */
+static void
+serve_operator(void *arg, HrHttpExchange *exchange)
+{
+    HttpTask *http = arg;
+
+    if (!is_authorized(http, exchange)) {
+        HrCounters_Add(http->task->daemon->counters, HR_COUNTER_bad_requests,
+                       1);
+        answer_text(http, HR_LISTENER_OPERATOR,
+                    HrHttpExchange_Number(exchange), 401, "application/json",
+                    "{\"error\":\"auth\",\"remedy\":\"send the header "
+                    "Authorization: Bearer TOKEN with the token of the "
+                    "daemon's settings\"}\n");
+        return;
+    }
+    forward_request(http, HR_LISTENER_OPERATOR, exchange);
+}
+
+/* While the daemon shuts down, tells the control task how many requests have
+ * no answer. */
+static void
+report_open(HttpTask *http)
+{
+    uint32_t open = HrHttpServer_OpenCount(http->servers[HR_LISTENER_CALLER]);
+    HrMessage *message;
+
+    if (!http->draining || open == http->reported_open) {
+        return;
+    }
+    http->reported_open = open;
+    message = HrMessage_Create(HR_MESSAGE_LOAD);
+    if (message != NULL) {
+        message->u.load.task = http->task;
+        message->u.load.open = open;
+    }
+    HrTask_Post(http->task, http->task->daemon->control, message);
+}
+
+/* Handles a message of another task. */
+static void
+handle_message(void *state, HrMessage *message)
+{
+    HttpTask *http = state;
+    int listener;
+
+    switch (message->kind) {
+    case HR_MESSAGE_HTTP_ANSWER:
+        HrHttpServer_Answer(http->servers[message->u.http.listener],
+                            message->u.http.number, message->u.http.status,
+                            message->u.http.content_type,
+                            message->u.http.body);
+        break;
+    case HR_MESSAGE_REFUSE_NEW:
+        http->draining = true;
+        break;
+    case HR_MESSAGE_CLOSE_LISTENERS:
+        for (listener = 0; listener < HR_LISTENER_COUNT; listener++) {
+            HrHttpServer_StopAccepting(http->servers[listener]);
+        }
+        break;
+    default:
+        break;
+    }
+    report_open(http);
+    talloc_free(message);
+}
+
+/* Opens one listener. */
+static HrHttpServer *
+open_listener(HttpTask *http, const HrListenerSettings *settings,
+              HrHttpServerFn *fn, HrError *err)
+{
+    HrHttpServerConfig config = {
+        .listen = settings->listen,
+        .max_connections = settings->max_connections,
+        .max_header_bytes = settings->max_header_bytes,
+        .max_body_bytes = settings->max_body_bytes,
+        .request_timeout_ms = settings->request_timeout_ms,
+        .counters = http->task->daemon->counters};
+
+    return HrHttpServer_Create(http, http->task->loop, &config, fn, http, err);
+}
+
+/* Prepares the HTTP task. */
+int
+HrHttpTask_Init(HrTask *task, HrError *err)
+{
+    const HrSettings *settings = task->daemon->settings;
+    HttpTask *http = talloc_zero(task, HttpTask);
+
+    if (http == NULL || sodium_init() < 0) {
+        return HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+    }
+    http->task = task;
+    task->state = http;
+    task->handle = handle_message;
+    crypto_generichash(http->token_hash, sizeof(http->token_hash),
+                       (const uint8_t *)settings->operator_token,
+                       strlen(settings->operator_token), NULL, 0);
+    http->servers[HR_LISTENER_CALLER] =
+        open_listener(http, &settings->caller, serve_caller, err);
+    if (http->servers[HR_LISTENER_CALLER] == NULL) {
+        return HR_ERR_IO;
+    }
+    http->servers[HR_LISTENER_OPERATOR] =
+        open_listener(http, &settings->operator_listener, serve_operator, err);
+    return http->servers[HR_LISTENER_OPERATOR] != NULL ? HR_OK : HR_ERR_IO;
+}
+
+/* Returns the port of a listener. */
+uint16_t
+HrHttpTask_Port(const HrTask *task, HrListenerId listener)
+{
+    return HrHttpServer_Port(
+        ((const HttpTask *)task->state)->servers[listener]);
+}
--- /dev/null
+++ b/src/daemon-metrics.h
@@ -0,0 +1,10 @@
+#ifndef HR_DAEMON_METRICS_H
+#define HR_DAEMON_METRICS_H
+
+#include "base-counter.h"
+
+/* Returns every counter in the text format of GET /metrics, as a talloc child
+ * of parent; NULL when memory runs out. */
+char *HrMetrics_Format(const void *parent, const HrCounters *counters);
+
+#endif
--- /dev/null
+++ b/src/daemon-query-claim.c
@@ -0,0 +1,132 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-claim.h"
+#include "daemon-query-state.h"
+
+/* Asks the control task to claim the request id. */
+void
+HrQuery_StartClaim(HrQuery *query)
+{
+    HrTask *task = query->owner->task;
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_CLAIM_START);
+
+    if (message != NULL) {
+        message->u.claim_start.token = query->id.counter;
+        message->u.claim_start.query_task = task->index;
+        message->u.claim_start.request_id =
+            HrMessage_CopyText(message, query->caller->request_id);
+        message->u.claim_start.expires_ms = query->caller->expires_ms;
+        message->u.claim_start.deadline_ns = query->deadline_ns;
+    }
+    HrTask_Post(task, task->daemon->control, message);
+}
+
+/* Tells the control task how a dispatched claim ended. */
+static void
+send_outcome(HrQueryTask *state, uint64_t sequence, HrClaimState claim_state,
+             HrBytes result)
+{
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_CLAIM_OUTCOME);
+
+    if (message != NULL) {
+        message->u.claim_outcome.sequence = sequence;
+        message->u.claim_outcome.state = (int)claim_state;
+        message->u.claim_outcome.result = HrMessage_CopyBytes(message, result);
+    }
+    HrTask_Post(state->task, state->task->daemon->control, message);
+}
+
+/* Tells the control task how a claimed query ended. */
+void
+HrQuery_EndClaim(HrQuery *query, const HrGatherAnswer *answer)
+{
+    HrBytes result = {NULL, 0};
+    HrClaimState state = HR_CLAIM_UNKNOWN;
+
+    if (answer->status == HR_STATUS_DONE) {
+        state = HR_CLAIM_DONE;
+        result = answer->parts[0].payload;
+    }
+    else if (answer->status == HR_STATUS_REFUSED && answer->not_run) {
+        state = HR_CLAIM_RELEASED;
+    }
+    send_outcome(query->owner, query->claim_sequence, state, result);
+}
+
+/* Answers with the outcome of an earlier copy. A result that was too long to
+ * be recorded is an empty object. */
+static void
+answer_recorded(HrQuery *query, const HrMessage *message)
+{
+    static const uint8_t none[] = "{}";
+    HrShardPart part = {.shard = "", .group = ""};
+    HrGatherAnswer answer = {.status = HR_STATUS_DONE,
+                             .parts = &part,
+                             .part_count = 1,
+                             .started_ns = query->received_ns};
+
+    part.payload = message->u.claim_result.result;
+    if (part.payload.length_bytes == 0) {
+        part.payload.data = none;
+        part.payload.length_bytes = sizeof(none) - 1;
+    }
+    answer.finished_ns = HrLoop_NowNs(query->owner->task->loop);
+    HrQuery_Answer(query, &answer);
+}
+
+/* Answers that an earlier copy may have run. */
+static void
+answer_unknown(HrQuery *query, HrReason reason)
+{
+    HrGatherAnswer answer = {.status = HR_STATUS_UNKNOWN,
+                             .reason = reason,
+                             .started_ns = query->received_ns};
+
+    answer.finished_ns = HrLoop_NowNs(query->owner->task->loop);
+    HrQuery_Answer(query, &answer);
+}
+
+/* Runs a claimed query unless its time is over. */
+static void
+dispatch_query(HrQuery *query, uint64_t sequence)
+{
+    query->claimed = true;
+    query->claim_sequence = sequence;
+    if (HrLoop_NowNs(query->owner->task->loop) >= query->deadline_ns) {
+        HrQuery_Refuse(query, HR_REASON_DEADLINE, true);
+        return;
+    }
+    HrQuery_Proceed(query);
+}
+
+/* Handles the end of a claim. */
+void
+HrQueryTask_ClaimResult(HrQueryTask *state, const HrMessage *message)
+{
+    uint64_t token = message->u.claim_result.token;
+    const HrBytes none = {NULL, 0};
+    HrQuery *query = NULL;
+
+    HASH_FIND(hh, state->queries, &token, sizeof(token), query);
+    if (query == NULL || query->phase != HR_QUERY_CLAIM) {
+        if (message->u.claim_result.dispatch) {
+            send_outcome(state, message->u.claim_result.sequence,
+                         HR_CLAIM_RELEASED, none);
+        }
+        return;
+    }
+    if (message->u.claim_result.dispatch) {
+        dispatch_query(query, message->u.claim_result.sequence);
+    }
+    else if (message->u.claim_result.recorded) {
+        answer_recorded(query, message);
+    }
+    else if (message->u.claim_result.reason == HR_REASON_NONE) {
+        answer_unknown(query, HR_REASON_NONE);
+    }
+    else {
+        HrQuery_Refuse(query, message->u.claim_result.reason,
+                       message->u.claim_result.not_run);
+    }
+}
--- /dev/null
+++ b/src/daemon-query.c
@@ -0,0 +1,455 @@
+#include "daemon-query.h"
+
+#include <string.h>
+#include <talloc.h>
+
+#include "daemon-query-state.h"
+#include "daemon-report.h"
+#include "proto-burn.h"
+#include "proto-fields.h"
+
+#define LOAD_INTERVAL_NS HR_NS_PER_S
+/* How long a query waits for the first maps of its pool. */
+#define MAPS_WAIT_NS (500 * HR_NS_PER_MS)
+/* A claim is answered by its own deadline; this is a margin for the messages
+ * between the tasks. */
+#define CLAIM_GRACE_NS (500 * HR_NS_PER_MS)
+
+static void drain_admission(HrQueryTask *state);
+
+/* Removes a query whose answer was given. */
+void
+HrQuery_Remove(HrQuery *query)
+{
+    HrQueryTask *state = query->owner;
+    HrAdmitEvent event = {.kind = HR_ADMIT_WITHDRAW,
+                          .now_ns = HrLoop_NowNs(state->task->loop)};
+
+    if (query->admitted) {
+        event.kind = HR_ADMIT_FINISH;
+        event.u.finish.id = query->id.counter;
+        event.u.finish.service_ns = event.now_ns - query->started_ns;
+    }
+    else {
+        event.u.withdraw_id = query->id.counter;
+    }
+    HASH_DELETE(hh, state->queries, query);
+    HASH_CLEAR(hh, query->subs);
+    HrLoop_RemoveTimer(state->task->loop, query->timer);
+    talloc_free(query);
+    HrAdmit_Handle(state->admit, &event);
+    drain_admission(state);
+}
+
+/* Returns the number of open queries as reported to the control task. */
+static void
+report_load(HrQueryTask *state)
+{
+    uint32_t open = HASH_COUNT(state->queries);
+    HrMessage *message;
+
+    if (open == state->reported_open) {
+        return;
+    }
+    state->reported_open = open;
+    message = HrMessage_Create(HR_MESSAGE_LOAD);
+    if (message != NULL) {
+        message->u.load.task = state->task;
+        message->u.load.open = open;
+    }
+    HrTask_Post(state->task, state->task->daemon->control, message);
+}
+
+/* Reports the load once a second. */
+static void
+fire_load(void *arg)
+{
+    HrQueryTask *state = arg;
+
+    report_load(state);
+    HrLoop_SetTimer(state->task->loop, state->load_timer,
+                    HrLoop_NowNs(state->task->loop) + LOAD_INTERVAL_NS);
+}
+
+/* Handles the time limit of a query's present phase. */
+static void
+fire_query(void *arg)
+{
+    HrQuery *query = arg;
+    HrGatherEvent event = {.kind = HR_GATHER_TIMER};
+
+    switch (query->phase) {
+    case HR_QUERY_ADMISSION:
+        break; /* the admission queue keeps the time */
+    case HR_QUERY_CLAIM:
+        /* A grant that comes later is released. */
+        HrQuery_Refuse(query, HR_REASON_STORE_UNAVAILABLE, false);
+        break;
+    case HR_QUERY_MAPS:
+        HrQuery_StartGather(query);
+        break;
+    case HR_QUERY_RUNNING:
+        HrQuery_Handle(query, &event);
+        break;
+    }
+}
+
+/* Waits for the first maps of the pool, or starts the gather. */
+static void
+proceed_to_gather(HrQuery *query)
+{
+    HrQueryTask *state = query->owner;
+    const HrPoolMaps *maps = HrSnapshots_PoolMaps(
+        state->task->daemon->snapshots, query->route.pool);
+    int64_t now_ns = HrLoop_NowNs(state->task->loop);
+    bool usable = maps != NULL && maps->set->map_count > 0;
+
+    HrQueryTask_WantMaps(state, query->route.pool,
+                         maps != NULL ? maps->set->revision : 0, !usable);
+    if (usable) {
+        HrQuery_StartGather(query);
+        return;
+    }
+    query->phase = HR_QUERY_MAPS;
+    query->maps_until_ns = now_ns + MAPS_WAIT_NS;
+    if (query->maps_until_ns > query->deadline_ns) {
+        query->maps_until_ns = query->deadline_ns;
+    }
+    HrLoop_SetTimer(state->task->loop, query->timer, query->maps_until_ns);
+}
+
+/* Continues a query that was admitted, and claimed if it must be. */
+void
+HrQuery_Proceed(HrQuery *query)
+{
+    if (!query->route.idempotent && !query->claimed) {
+        query->phase = HR_QUERY_CLAIM;
+        HrLoop_SetTimer(query->owner->task->loop, query->timer,
+                        query->deadline_ns + CLAIM_GRACE_NS);
+        HrQuery_StartClaim(query);
+        return;
+    }
+    proceed_to_gather(query);
+}
+
+/* Carries out the decisions of the admission queue. The end of a query calls
+ * it again; the outer call then carries on. */
+static void
+drain_admission(HrQueryTask *state)
+{
+    HrAdmitAction action;
+
+    if (state->in_admission) {
+        return;
+    }
+    state->in_admission = true;
+    while (HrAdmit_Next(state->admit, &action)) {
+        HrQuery *query = NULL;
+
+        HASH_FIND(hh, state->queries, &action.id, sizeof(action.id), query);
+        if (query == NULL) {
+            continue;
+        }
+        if (action.kind == HR_ADMIT_REFUSE) {
+            HrQuery_Refuse(query, action.reason, true);
+            continue;
+        }
+        query->admitted = true;
+        query->started_ns = HrLoop_NowNs(state->task->loop);
+        HrQuery_Proceed(query);
+    }
+    state->in_admission = false;
+    HrLoop_SetTimer(state->task->loop, state->admit_timer,
+                    HrAdmit_NextTimer(state->admit));
+}
+
+/* Passes the time to the admission queue. */
+static void
+fire_admission(void *arg)
+{
+    HrQueryTask *state = arg;
+    HrAdmitEvent event = {.kind = HR_ADMIT_TIMER,
+                          .now_ns = HrLoop_NowNs(state->task->loop)};
+
+    HrAdmit_Handle(state->admit, &event);
+    drain_admission(state);
+}
+
+/* Copies the route, so that a change of the tables does not affect the
+ * query. */
+static int
+copy_route(HrQuery *query, const HrRoute *route)
+{
+    query->route = *route;
+    query->route.name = talloc_strdup(query, route->name);
+    query->route.kind = talloc_strdup(query, route->kind);
+    query->route.pool = talloc_strdup(query, route->pool);
+    return query->route.name != NULL && query->route.kind != NULL &&
+                   query->route.pool != NULL
+               ? HR_OK
+               : HR_ERR_NO_MEMORY;
+}
+
+/* Returns the deadline of a query: the caller's, within the route's limit. */
+static int64_t
+find_deadline(const HrQuery *query)
+{
+    uint32_t ms = query->caller->deadline_ms;
+
+    if (ms == 0) {
+        ms = query->route.default_deadline_ms;
+    }
+    if (ms > query->route.max_deadline_ms) {
+        ms = query->route.max_deadline_ms;
+    }
+    return query->received_ns + ms * HR_NS_PER_MS;
+}
+
+/* Creates a query and numbers it; NULL when memory runs out. */
+static HrQuery *
+create_query(HrQueryTask *state, const HrMessage *message)
+{
+    const HrDaemon *daemon = state->task->daemon;
+    HrQuery *query = talloc_zero(state, HrQuery);
+
+    if (query == NULL) {
+        return NULL;
+    }
+    query->timer = HrLoop_AddTimer(state->task->loop, fire_query, query);
+    if (query->timer == NULL) {
+        talloc_free(query);
+        return NULL;
+    }
+    state->last_counter += daemon->query_count;
+    query->owner = state;
+    query->id.daemon_id = daemon->daemon_id;
+    query->id.incarnation = daemon->incarnation;
+    query->id.counter = state->last_counter;
+    query->http_number = message->u.query.number;
+    query->received_ns = message->u.query.received_ns;
+    query->phase = HR_QUERY_ADMISSION;
+    HASH_ADD(hh, state->queries, id.counter, sizeof(query->id.counter), query);
+    return query;
+}
+
+/* Puts a query into the admission queue. */
+static void
+admit_query(HrQuery *query)
+{
+    HrQueryTask *state = query->owner;
+    HrAdmitEvent event = {.kind = HR_ADMIT_ARRIVE,
+                          .now_ns = HrLoop_NowNs(state->task->loop)};
+
+    event.u.arrive.id = query->id.counter;
+    event.u.arrive.priority = query->route.priority;
+    event.u.arrive.caller = query->caller->caller;
+    event.u.arrive.deadline_ns = query->deadline_ns;
+    event.u.arrive.caller_share_percent = query->route.caller_share_percent;
+    HrAdmit_Handle(state->admit, &event);
+    drain_admission(state);
+}
+
+/* Routes a decoded query. */
+static void
+route_query(HrQuery *query)
+{
+    HrQueryTask *state = query->owner;
+    const HrTables *tables =
+        HrSnapshots_Tables(state->task->daemon->snapshots);
+    const HrRoute *route =
+        tables != NULL ? HrTables_FindRoute(tables, query->caller->kind)
+                       : NULL;
+    HrError err;
+
+    if (state->refusing) {
+        HrQuery_Refuse(query, HR_REASON_DRAINING, true);
+        return;
+    }
+    if (route == NULL) {
+        HrQuery_Refuse(query, HR_REASON_NO_ROUTE, true);
+        return;
+    }
+    if (copy_route(query, route) != HR_OK) {
+        HrQuery_Refuse(query, HR_REASON_OVERLOADED, true);
+        return;
+    }
+    if (!route->idempotent && query->caller->expires_ms == 0) {
+        HrError_Set(&err, HR_ERR_INVALID,
+                    "expires_ms is missing: a request of kind %s runs at most "
+                    "once, so its id needs an expiry within 10 minutes",
+                    query->caller->kind);
+        HrQueryTask_RejectText(state, query->http_number, &err);
+        HrQuery_Remove(query);
+        return;
+    }
+    query->deadline_ns = find_deadline(query);
+    admit_query(query);
+}
+
+/* Takes a caller's request in. */
+static void
+accept_query(HrQueryTask *state, const HrMessage *message)
+{
+    HrCounters *counters = state->task->daemon->counters;
+    HrQuery *query = create_query(state, message);
+    HrError err;
+
+    if (query == NULL) {
+        HrError_Set(&err, HR_ERR_NO_MEMORY,
+                    "no memory for a query: send it to another address");
+        HrQueryTask_RejectText(state, message->u.query.number, &err);
+        return;
+    }
+    if (HrCallerQuery_Decode(query, (const char *)message->u.query.text.data,
+                             message->u.query.text.length_bytes,
+                             &query->caller, &err) != HR_OK) {
+        HrCounters_Add(counters, HR_COUNTER_bad_requests, 1);
+        HrQueryTask_RejectText(state, query->http_number, &err);
+        HrQuery_Remove(query);
+        return;
+    }
+    HrCounters_Add(counters, HR_COUNTER_queries_received, 1);
+    route_query(query);
+}
+
+/* Returns the open query with an id, or NULL. */
+static HrQuery *
+find_query(HrQueryTask *state, const HrQueryId *id)
+{
+    HrQuery *query = NULL;
+
+    HASH_FIND(hh, state->queries, &id->counter, sizeof(id->counter), query);
+    return query != NULL && HrQueryId_Equals(&query->id, id) ? query : NULL;
+}
+
+/* Hands a sub-answer to its gather. What another daemon sent is checked: the
+ * answer to the caller copies payloads as they are. */
+static void
+handle_sub_answer(HrQueryTask *state, HrMessage *message)
+{
+    HrSubAnswer *answer = &message->u.answer.answer;
+    HrQuery *query = find_query(state, &answer->query);
+    HrGatherEvent event = {.kind = HR_GATHER_SUB_ANSWER, .u.answer = answer};
+
+    if (query == NULL || query->phase != HR_QUERY_RUNNING) {
+        HrCounters_Add(state->task->daemon->counters,
+                       HR_COUNTER_sub_answers_dropped, 1);
+        return;
+    }
+    if (message->u.answer.remote && answer->outcome == HR_OUTCOME_ANSWERED &&
+        !HrJson_IsValue(answer->payload)) {
+        answer->outcome = HR_OUTCOME_UNKNOWN;
+        answer->reason = HR_REASON_BAD_ANSWER;
+        answer->payload.length_bytes = 0;
+    }
+    HrQuery_Handle(query, &event);
+}
+
+/* Hands the failure of a sub-request to its gather. */
+static void
+handle_sub_failure(HrQueryTask *state, const HrMessage *message)
+{
+    HrQuery *query = find_query(state, &message->u.failure.query);
+    HrGatherEvent event = {.kind = HR_GATHER_PEER_FAILURE};
+
+    if (query == NULL || query->phase != HR_QUERY_RUNNING) {
+        return;
+    }
+    event.u.failure.sub_id = message->u.failure.sub_id;
+    event.u.failure.handed_over = message->u.failure.handed_over;
+    event.u.failure.reason = message->u.failure.reason;
+    HrQuery_Handle(query, &event);
+}
+
+/* Sends the objectives' figures to the control task. */
+static void
+send_burn(HrQueryTask *state, uint64_t number)
+{
+    void *scratch = talloc_new(NULL);
+    HrBurnReport *report =
+        HrBurn_Report(state->burn, scratch,
+                      HrTime_ToNs(HrClock_Wall(state->task->daemon->clock)));
+    const char *text =
+        report != NULL ? HrBurnReport_Encode(scratch, report) : NULL;
+
+    HrReport_Send(state->task, number, "burn", text != NULL ? text : "{}");
+    talloc_free(scratch);
+}
+
+/* Handles a message of another task. */
+static void
+handle_message(void *arg, HrMessage *message)
+{
+    HrQueryTask *state = arg;
+
+    switch (message->kind) {
+    case HR_MESSAGE_QUERY:
+        accept_query(state, message);
+        break;
+    case HR_MESSAGE_SUB_ANSWER:
+        handle_sub_answer(state, message);
+        break;
+    case HR_MESSAGE_SUB_FAILURE:
+        handle_sub_failure(state, message);
+        break;
+    case HR_MESSAGE_MAPS_CHECKED:
+        HrQueryTask_MapsChecked(state, message->u.maps.pool);
+        break;
+    case HR_MESSAGE_CLAIM_RESULT:
+        HrQueryTask_ClaimResult(state, message);
+        break;
+    case HR_MESSAGE_REFUSE_NEW:
+        state->refusing = true;
+        break;
+    case HR_MESSAGE_REPORT_WANTED:
+        send_burn(state, message->u.report.number);
+        break;
+    default:
+        break;
+    }
+    if (state->refusing) {
+        report_load(state);
+    }
+    talloc_free(message);
+}
+
+/* Empties the hashes before their entries go. */
+static int
+destroy_state(HrQueryTask *state)
+{
+    HASH_CLEAR(hh, state->queries);
+    HASH_CLEAR(hh, state->pools);
+    return 0;
+}
+
+/* Prepares a query task. */
+int
+HrQueryTask_Init(HrTask *task)
+{
+    const HrSettings *settings = task->daemon->settings;
+    HrQueryTask *state = talloc_zero(task, HrQueryTask);
+    HrAdmitConfig admit = {.places = settings->max_queries,
+                           .queue_limit = settings->max_queries};
+    HrBurnConfig burn = HrBurnConfig_Default();
+
+    if (state == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    state->task = task;
+    state->last_counter = task->index;
+    state->admit = HrAdmit_Create(state, &admit);
+    state->placement = HrPlacement_Create(state);
+    state->burn = HrBurn_Create(state, &burn);
+    state->admit_timer = HrLoop_AddTimer(task->loop, fire_admission, state);
+    state->load_timer = HrLoop_AddTimer(task->loop, fire_load, state);
+    if (state->admit == NULL || state->placement == NULL ||
+        state->burn == NULL || state->admit_timer == NULL ||
+        state->load_timer == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    talloc_set_destructor(state, destroy_state);
+    task->state = state;
+    task->handle = handle_message;
+    fire_load(state);
+    return HR_OK;
+}
