--- a/tests/common-gather-world.c
+++ b/tests/common-gather-world.c
@@ -5,7 +5,7 @@
 #include <string.h>
 #include <talloc.h>
 
-#define MAX_EVENTS 4096
+#define FIRST_EVENTS 32
 #define MAX_SENDS 1024
 #define MAX_DELAY_NS (60 * HR_NS_PER_MS)
 #define STRAY_EPOCH_SUB_ID (UINT32_C(7) << 28)
@@ -32,6 +32,7 @@
     HrRng rng; /* of the noise, which must change nothing */
     WorldEvent *events;
     uint32_t event_count;
+    uint32_t event_capacity;
     WorldSend sends[MAX_SENDS];
     WorldRun run;
 } WorldDriver;
@@ -177,7 +178,7 @@
 static void
 choose_maps(World *world, HrRng *rng)
 {
-    HrIndexMap *old, *pinned, *newer, *list[WORLD_MAX_MAPS];
+    HrIndexMap *old, *pinned, *newer, *list[WORLD_MAX_MAPS] = {NULL};
     uint32_t limit = HrRng_Chance(rng, 0.05) ? WORLD_MAX_SHARDS : 12;
 
     old = World_CreateMap(world, 4, 1 + (uint32_t)HrRng_Below(rng, limit));
@@ -258,11 +259,14 @@
 static WorldEvent *
 add_event(WorldDriver *driver, HrGatherEventKind kind, int64_t raw_ns)
 {
-    WorldEvent *event = &driver->events[driver->event_count++];
+    WorldEvent *event;
 
-    if (driver->event_count > MAX_EVENTS) {
-        abort();
+    if (driver->event_count == driver->event_capacity) {
+        driver->event_capacity = 2 * driver->event_capacity + FIRST_EVENTS;
+        driver->events = talloc_realloc(driver, driver->events, WorldEvent,
+                                        driver->event_capacity);
     }
+    event = &driver->events[driver->event_count++];
     memset(event, 0, sizeof(*event));
     event->kind = kind;
     event->raw_ns = raw_ns;
@@ -551,7 +555,6 @@
 
     driver->world = world;
     driver->rng = HrRng_FromSeed(~world->seed);
-    driver->events = talloc_array(driver, WorldEvent, MAX_EVENTS);
     driver->run.gather = HrGather_Create(parent, &world->config, &query);
     start_query(driver);
     timer_ns = HrGather_NextTimer(driver->run.gather);
--- a/tests/common-mutate.c
+++ b/tests/common-mutate.c
@@ -4,6 +4,7 @@
 #include <talloc.h>
 
 #define MAX_CHANGES 4
+#define MAX_PIECE_BYTES ((size_t)32)
 
 /* Pieces that are likely to reach the rules behind the parser. */
 static const char *const pieces[] = {
@@ -18,10 +19,8 @@
 /* Replaces a span of the text by a piece. */
 static size_t
 replace_span(char *text, size_t length, size_t from, size_t span,
-             const char *piece)
+             const char *piece, size_t size)
 {
-    size_t size = strlen(piece);
-
     memmove(text + from + size, text + from + span, length - from - span);
     memcpy(text + from, piece, size);
     return length - span + size;
@@ -34,19 +33,19 @@
     size_t at = (size_t)HrRng_Below(rng, length), span;
     const char *piece =
         pieces[HrRng_Below(rng, sizeof(pieces) / sizeof(pieces[0]))];
-    char byte[2] = {(char)HrRng_Below(rng, 256), '\0'};
+    char byte = (char)HrRng_Below(rng, 256);
 
     span = (size_t)HrRng_Below(rng, 8);
     span = span > length - at ? length - at : span;
     switch (HrRng_Below(rng, 5)) {
     case 0:
-        return replace_span(text, length, at, 1, byte);
+        return replace_span(text, length, at, 1, &byte, 1);
     case 1:
-        return replace_span(text, length, at, 0, piece);
+        return replace_span(text, length, at, 0, piece, strlen(piece));
     case 2:
-        return replace_span(text, length, at, span, piece);
+        return replace_span(text, length, at, span, piece, strlen(piece));
     case 3:
-        return replace_span(text, length, at, span, "");
+        return replace_span(text, length, at, span, "", 0);
     default:
         return HrRng_Chance(rng, 0.2) ? at : length;
     }
@@ -59,7 +58,8 @@
 {
     size_t length = strlen(text);
     uint64_t changes = 1 + HrRng_Below(rng, MAX_CHANGES);
-    char *copy = talloc_size(parent, length + MAX_CHANGES * 32 + 1);
+    char *copy =
+        talloc_size(parent, length + MAX_CHANGES * MAX_PIECE_BYTES + 1);
 
     memcpy(copy, text, length);
     while (changes-- > 0 && length > 0) {
--- a/tests/test-burn.c
+++ b/tests/test-burn.c
@@ -340,7 +340,7 @@
     (void)state;
     print_message("seed %llu\n", (unsigned long long)SEED + 2);
     for (i = 0; i < 12; i++) {
-        record_random(burn, &rng, START_NS + i * 9 * HR_NS_PER_S);
+        record_random(burn, &rng, START_NS + (int64_t)i * 9 * HR_NS_PER_S);
     }
     good = HrBurnReport_Encode(
         burn, HrBurn_Report(burn, burn, START_NS + 108 * HR_NS_PER_S));
