--- a/src/coord-edit.c
+++ b/src/coord-edit.c
@@ -468,8 +468,9 @@
         return;
     }
     HrError_Set(refuse(edit), HR_ERR_UNAVAILABLE,
-                "the edit was not made: the store did not answer in %" PRId64
-                " ms; repeat it when the store is available",
+                "this request has changed nothing: the store did not answer "
+                "in %" PRId64 " ms; repeat it with the same edit id when the "
+                "store is available",
                 edit->config.deadline_ns / HR_NS_PER_MS);
 }
 
