--- /dev/null
+++ b/tests/test-tables.c
@@ -0,0 +1,534 @@
+#include <jansson.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include <cmocka.h>
+
+#include "base-rng.h"
+#include "common-config-model.h"
+#include "state-tables-check.h"
+#include "state-tables-delta.h"
+#include "state-tables-json.h"
+
+#define SEED UINT64_C(46300)
+
+static const char valid_text[] =
+    "{\"routes\":[{\"name\":\"search\",\"kind\":\"search.*\","
+    "\"pool\":\"desk\",\"priority\":1,\"finish\":\"enough\","
+    "\"enough_percent\":80,\"idempotent\":true,\"default_deadline_ms\":50,"
+    "\"max_deadline_ms\":500,\"objective_latency_target\":0.99}],"
+    "\"pools\":[{\"name\":\"desk\",\"slots\":5,\"connections\":40,"
+    "\"hedge\":\"quantile\",\"hedge_quantile\":0.95,\"servers\":["
+    "{\"name\":\"s1\",\"address\":\"10.0.0.1:8000\",\"data_centre\":\"dc1\","
+    "\"group\":\"g1\"},"
+    "[\"s2\",\"10.0.0.2:8000\",\"dc1\",\"g1\",true]]}]}";
+
+/* Returns the text with the first occurrence of a part replaced. */
+static char *
+replace_part(const void *parent, const char *part, const char *with)
+{
+    const char *found = strstr(valid_text, part);
+
+    assert_non_null(found);
+    return talloc_asprintf(parent, "%.*s%s%s", (int)(found - valid_text),
+                           valid_text, with, found + strlen(part));
+}
+
+/* Guards against values that change on the way through the text. */
+static void
+test_text_is_read(void **state)
+{
+    HrError err = {0};
+    HrTables *tables = HrTables_FromJson(NULL, valid_text, strlen(valid_text),
+                                         "a.json", &err);
+
+    (void)state;
+    assert_non_null(tables);
+    assert_int_equal(tables->route_count, 1);
+    assert_int_equal(tables->routes[0].finish, HR_FINISH_ENOUGH);
+    assert_int_equal(tables->routes[0].enough_percent, 80);
+    assert_true(tables->routes[0].idempotent);
+    assert_int_equal(tables->routes[0].caller_share_percent, 50);
+    assert_int_equal(tables->pools[0].hedge, HR_HEDGE_QUANTILE);
+    assert_int_equal(tables->pools[0].server_count, 2);
+    assert_false(tables->pools[0].servers[0].leaving);
+    assert_true(tables->pools[0].servers[1].leaving);
+    talloc_free(tables);
+}
+
+/* One malformed text: the part to replace, and what the message must say. */
+typedef struct BadCase {
+    const char *part;
+    const char *with;
+    int kind;
+    const char *says[3];
+} BadCase;
+
+static const BadCase bad_cases[] = {
+    {"\"priority\":1",
+     "\"prio\":1",
+     HR_ERR_UNKNOWN_FIELD,
+     {"routes[0]", "\"prio\"", "remove it"}},
+    {"\"slots\":5",
+     "\"slot\":5",
+     HR_ERR_UNKNOWN_FIELD,
+     {"pools[0]", "\"slot\"", "remove it"}},
+    {"\"group\":\"g1\"}",
+     "\"group\":\"g1\",\"x\":1}",
+     HR_ERR_UNKNOWN_FIELD,
+     {"pools[0].servers[0]", "\"x\"", "remove it"}},
+    {"{\"routes\"",
+     "{\"y\":2,\"routes\"",
+     HR_ERR_UNKNOWN_FIELD,
+     {"a.json", "\"y\"", "2"}},
+    {"\"priority\":1",
+     "\"priority\":\"1\"",
+     HR_ERR_INVALID,
+     {"\"priority\"", "\"1\"", "an integer"}},
+    {"\"priority\":1",
+     "\"priority\":1.5",
+     HR_ERR_INVALID,
+     {"\"priority\"", "1.5", "an integer"}},
+    {"\"idempotent\":true",
+     "\"idempotent\":1",
+     HR_ERR_INVALID,
+     {"\"idempotent\"", "1", "true or false"}},
+    {"\"name\":\"search\"",
+     "\"name\":7",
+     HR_ERR_INVALID,
+     {"\"name\"", "7", "a string"}},
+    {"0.99",
+     "\"high\"",
+     HR_ERR_INVALID,
+     {"\"objective_latency_target\"", "high", "a number"}},
+    {"\"priority\":1",
+     "\"priority\":8",
+     HR_ERR_RANGE,
+     {"\"priority\"", "8", "0 to 7"}},
+    {"\"priority\":1",
+     "\"priority\":-1",
+     HR_ERR_RANGE,
+     {"\"priority\"", "-1", "0 to 7"}},
+    {"\"priority\":1",
+     "\"priority\":4294967296",
+     HR_ERR_RANGE,
+     {"\"priority\"", "4294967296", "0 to 7"}},
+    {"\"enough_percent\":80",
+     "\"enough_percent\":0",
+     HR_ERR_RANGE,
+     {"\"enough_percent\"", "0", "1 to 100"}},
+    {"0.99",
+     "1.01",
+     HR_ERR_RANGE,
+     {"\"objective_latency_target\"", "1.01", "0.01 to 1"}},
+    {"\"hedge_quantile\":0.95",
+     "\"hedge_quantile\":1.0",
+     HR_ERR_RANGE,
+     {"\"hedge_quantile\"", "1", "0.9999"}},
+    {"\"default_deadline_ms\":50",
+     "\"default_deadline_ms\":501",
+     HR_ERR_RANGE,
+     {"\"default_deadline_ms\"", "501", "at most 500"}},
+    {"\"connections\":40",
+     "\"connections\":4",
+     HR_ERR_RANGE,
+     {"\"connections\"", "4", "at least 5"}},
+    {"\"finish\":\"enough\"",
+     "\"finish\":\"some\"",
+     HR_ERR_INVALID,
+     {"\"finish\"", "some", "\"single\""}},
+    {"\"hedge\":\"quantile\"",
+     "\"hedge\":\"often\"",
+     HR_ERR_INVALID,
+     {"\"hedge\"", "often", "\"tied\""}},
+    {"\"pool\":\"desk\"",
+     "\"pool\":\"disk\"",
+     HR_ERR_NOT_FOUND,
+     {"\"search\"", "\"disk\"", "change the route"}},
+    {"\"pool\":\"desk\",", "", HR_ERR_INVALID, {"\"pool\"", "missing", "add"}},
+    {"\"slots\":5,", "", HR_ERR_INVALID, {"\"slots\"", "missing", "add"}},
+    {"\"servers\":[",
+     "\"hosts\":[",
+     HR_ERR_UNKNOWN_FIELD,
+     {"pools[0]", "\"hosts\"", "remove it"}},
+    {"search.*", "a*b", HR_ERR_INVALID, {"\"kind\"", "a*b", "at the end"}},
+    {"search.*", "", HR_ERR_RANGE, {"\"kind\"", "0 bytes", "1 to 63"}},
+    {"\"s1\"", "\"s 1\"", HR_ERR_INVALID, {"\"name\"", "s 1", "letters"}},
+    {"10.0.0.1:8000",
+     "host:8000",
+     HR_ERR_INVALID,
+     {"\"address\"", "host:8000", "numeric IP address"}},
+    {"10.0.0.1:8000",
+     "10.0.0.1",
+     HR_ERR_INVALID,
+     {"\"address\"", "10.0.0.1", "port"}},
+    {"10.0.0.1:8000",
+     "10.0.0.1:65536",
+     HR_ERR_INVALID,
+     {"\"address\"", "65536", "port"}},
+    {"10.0.0.1:8000",
+     "10.0.0.1:+80",
+     HR_ERR_INVALID,
+     {"\"address\"", "+80", "port"}},
+    {"10.0.0.1:8000",
+     "[10.0.0.1:80",
+     HR_ERR_INVALID,
+     {"\"address\"", "[10.0.0.1:80", "port"}},
+    {"10.0.0.1:8000",
+     "10.0.0.2:8000",
+     HR_ERR_DUPLICATE,
+     {"\"address\"", "10.0.0.2:8000", "change one"}},
+    {"\"s1\"", "\"s2\"", HR_ERR_DUPLICATE, {"\"name\"", "s2", "rename"}},
+    {",true]", ",true,1]", HR_ERR_INVALID, {"servers[1]", "6", "at most 5"}},
+    {",\"dc1\",\"g1\",true]",
+     "]",
+     HR_ERR_INVALID,
+     {"servers[1]", "\"data_centre\"", "add"}},
+    {"\"routes\":[",
+     "\"routes\":[1,",
+     HR_ERR_INVALID,
+     {"routes[0]", "type", "object"}},
+    {"\"routes\":[",
+     "\"routes\":{},\"pools\":[],\"tombstones\":[",
+     HR_ERR_INVALID,
+     {"a.json", "", ""}},
+    {"\"slots\":5",
+     "\"slots\":5,\"slots\":6",
+     HR_ERR_INVALID,
+     {"a.json", "line 1", "duplicate"}},
+    {"{\"routes\"", "[{\"routes\"", HR_ERR_INVALID, {"a.json", "line", ""}},
+    {"{\"routes\"",
+     "{\"revision\":5,\"routes\"",
+     HR_ERR_INVALID,
+     {"\"digest\"", "missing", "read"}},
+    {"{\"routes\"",
+     "{\"revision\":5,\"digest\":\"0123456789abcdef\",\"routes\"",
+     HR_ERR_INVALID,
+     {"\"digest\"", "0123456789abcdef", "does not match"}},
+    {"\"routes\":[",
+     "\"routes\":[{\"name\":\"b\",\"kind\":\"search.*\",\"pool\":\"desk\"},",
+     HR_ERR_DUPLICATE,
+     {"\"kind\"", "search.*", "change or delete one"}},
+    {"\"routes\":[",
+     "\"routes\":[{\"name\":\"search\",\"kind\":\"x\",\"pool\":\"desk\"},",
+     HR_ERR_DUPLICATE,
+     {"\"name\"", "\"search\"", "rename"}},
+    {"\"pools\":[",
+     "\"pools\":[{\"name\":\"desk\",\"slots\":1,\"connections\":1,"
+     "\"servers\":[]},",
+     HR_ERR_DUPLICATE,
+     {"\"name\"", "\"desk\"", "rename"}},
+};
+
+/* Guards against a malformed table that is taken, and a message that does not
+ * name file, field, value and remedy. */
+static void
+test_malformed_text_is_refused(void **state)
+{
+    size_t i, j;
+
+    (void)state;
+    for (i = 0; i < sizeof(bad_cases) / sizeof(bad_cases[0]); i++) {
+        const BadCase *bad = &bad_cases[i];
+        char *text = replace_part(NULL, bad->part, bad->with);
+        HrError err = {0};
+
+        assert_null(
+            HrTables_FromJson(NULL, text, strlen(text), "a.json", &err));
+        if (err.kind != bad->kind) {
+            print_message("case %zu: %s\n", i, err.message);
+        }
+        assert_int_equal(err.kind, bad->kind);
+        assert_non_null(strstr(err.message, "a.json"));
+        for (j = 0; j < 3; j++) {
+            if (strstr(err.message, bad->says[j]) == NULL) {
+                print_message("case %zu: \"%s\" lacks \"%s\"\n", i,
+                              err.message, bad->says[j]);
+                fail();
+            }
+        }
+        talloc_free(text);
+    }
+}
+
+/* Guards against a list that grows without limit. */
+static void
+test_caps(void **state)
+{
+    char *text = talloc_strdup(NULL, "{\"pools\":[],\"routes\":[");
+    HrError err = {0};
+    int i;
+
+    (void)state;
+    for (i = 0; i <= HR_ROUTES_MAX; i++) {
+        text = talloc_asprintf_append_buffer(text, "%s{}", i == 0 ? "" : ",");
+    }
+    text = talloc_strdup_append_buffer(text, "]}");
+    assert_null(HrTables_FromJson(NULL, text, strlen(text), "a.json", &err));
+    assert_int_equal(err.kind, HR_ERR_TOO_LARGE);
+    assert_non_null(strstr(err.message, "1024"));
+    talloc_free(text);
+}
+
+/* Guards against a crash or a leak of unchecked rows for any damaged text. */
+static void
+test_damaged_text_never_yields_invalid_tables(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    size_t length = strlen(valid_text);
+    uint32_t taken = 0, i;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (i = 0; i < 20000; i++) {
+        char text[sizeof(valid_text)];
+        HrError err = {0};
+        HrTables *tables;
+        uint64_t changes = 1 + HrRng_Below(&rng, 3), j;
+
+        memcpy(text, valid_text, sizeof(text));
+        for (j = 0; j < changes; j++) {
+            text[HrRng_Below(&rng, length)] = (char)HrRng_Below(&rng, 256);
+        }
+        tables = HrTables_FromJson(NULL, text, length, "a.json", &err);
+        if (tables == NULL) {
+            assert_true(err.kind < 0 && err.message[0] != '\0');
+            continue;
+        }
+        assert_int_equal(HrTables_Check(tables, "again", &err), HR_OK);
+        talloc_free(tables);
+        taken++;
+    }
+    assert_in_range(taken, 1, 19999);
+}
+
+/* Makes random valid tables by a series of edits; models[i] and tables[i] are
+ * at revision i. */
+static uint32_t
+make_series(const void *parent, HrRng *rng, Model *models, HrTables **tables,
+            uint32_t limit)
+{
+    uint32_t made = 0, tries;
+
+    Model_Init(&models[0]);
+    tables[0] = NULL;
+    for (tries = 0; tries < 4 * limit && made < limit; tries++) {
+        ModelEdit edit = {.operator_name = "ann"};
+        HrTablesEdit *request;
+        HrError err = {0};
+        HrTables *next;
+        bool valid;
+
+        snprintf(edit.id, sizeof(edit.id), "e%u", tries);
+        ModelEdit_Random(&edit, rng);
+        request = ModelEdit_ToTables(parent, &edit);
+        valid = Model_Apply(&models[made], &edit, &models[made + 1]);
+        next = HrTablesEdit_Apply(parent, tables[made], request, tries, &err);
+        assert_int_equal(next != NULL, valid);
+        if (next != NULL) {
+            assert_true(Model_Matches(&models[made + 1], next));
+            tables[++made] = next;
+        }
+    }
+    return made;
+}
+
+/* Guards against an edit that differs from the naive version, a text that
+ * does not read back, and a delta that does not lead to the sender's
+ * tables from any earlier revision. */
+static void
+test_edits_texts_and_deltas_match_naive_version(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    uint32_t round;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (round = 0; round < 1500; round++) {
+        void *memory = talloc_new(NULL);
+        Model models[13];
+        HrTables *tables[13], *copy, *delta, *merged;
+        uint32_t made = make_series(memory, &rng, models, tables, 12);
+        uint32_t from = (uint32_t)HrRng_Below(&rng, made + 1);
+        HrError err = {0};
+        char *text = HrTables_ToStoreText(memory, tables[made]);
+
+        copy = HrTables_FromJson(memory, text, strlen(text), "store", &err);
+        assert_non_null(copy);
+        assert_string_equal(HrTables_ToStoreText(memory, copy), text);
+        delta = HrTables_Delta(memory, tables[made], from);
+        merged = HrTables_Merge(memory, tables[from], delta, from == 0,
+                                tables[made]->digest, &err);
+        assert_non_null(merged);
+        assert_true(Model_Matches(&models[made], merged));
+        assert_string_equal(HrTables_ToStoreText(memory, merged), text);
+        talloc_free(memory);
+    }
+}
+
+/* Guards against a history that grows beyond 64 edits, and against a repeated
+ * edit that is older than the history being applied again. */
+static void
+test_history_is_bounded(void **state)
+{
+    void *memory = talloc_new(NULL);
+    HrTables *tables = NULL;
+    HrTablesEdit *request = NULL;
+    int i;
+
+    (void)state;
+    for (i = 0; i < 70; i++) {
+        ModelEdit edit = {.operator_name = "ann",
+                          .values = {{i % 8, MODEL_KEEP, MODEL_KEEP},
+                                     {i % 8, MODEL_KEEP, MODEL_KEEP}}};
+
+        snprintf(edit.id, sizeof(edit.id), "e%d", i);
+        edit.based_on = (uint64_t)i;
+        request = ModelEdit_ToTables(memory, &edit);
+        tables = HrTablesEdit_Apply(memory, tables, request, i, NULL);
+        assert_non_null(tables);
+    }
+    assert_int_equal(tables->edit_count, HR_EDIT_HISTORY);
+    assert_int_equal(tables->edits[0].revision, 7);
+    assert_null(HrTables_FindEdit(tables, "e5"));
+    assert_non_null(HrTables_FindEdit(tables, "e6"));
+    request->set_route_count = 0; /* touches a pool that has not changed */
+    request->set_pools[0].name = "other";
+    request->based_on = 6;
+    assert_false(HrTablesEdit_Conflicts(tables, request));
+    request->based_on = 5;
+    assert_true(HrTablesEdit_Conflicts(tables, request));
+    talloc_free(memory);
+}
+
+/* Guards against tombstones that are kept for ever or dropped too early. */
+static void
+test_tombstones_are_kept_seven_days(void **state)
+{
+    void *memory = talloc_new(NULL);
+    ModelEdit edit = {.operator_name = "ann",
+                      .values = {{1, 1, MODEL_KEEP}, {1, 1, MODEL_KEEP}}};
+    HrTables *tables;
+
+    (void)state;
+    strcpy(edit.id, "e1");
+    tables = HrTablesEdit_Apply(memory, NULL,
+                                ModelEdit_ToTables(memory, &edit), 0, NULL);
+    strcpy(edit.id, "e2");
+    edit.values[0][0] = edit.values[1][0] = MODEL_ABSENT;
+    edit.values[0][1] = edit.values[1][1] = MODEL_KEEP;
+    tables = HrTablesEdit_Apply(memory, tables,
+                                ModelEdit_ToTables(memory, &edit), 0, NULL);
+    assert_int_equal(tables->tombstone_count, 2);
+    strcpy(edit.id, "e3");
+    edit.values[0][0] = edit.values[1][0] = MODEL_KEEP;
+    edit.values[0][1] = edit.values[1][1] = 2;
+    assert_int_equal(HrTablesEdit_Apply(memory, tables,
+                                        ModelEdit_ToTables(memory, &edit),
+                                        HR_TOMBSTONE_KEEP_MS, NULL)
+                         ->tombstone_count,
+                     2);
+    assert_int_equal(HrTablesEdit_Apply(memory, tables,
+                                        ModelEdit_ToTables(memory, &edit),
+                                        HR_TOMBSTONE_KEEP_MS + 1, NULL)
+                         ->tombstone_count,
+                     0);
+    talloc_free(memory);
+}
+
+/* Guards against a request that takes the wrong route. */
+static void
+test_exact_kind_wins_then_longest_prefix(void **state)
+{
+    HrRoute routes[] = {{.name = "a", .kind = "*"},
+                        {.name = "b", .kind = "search.*"},
+                        {.name = "c", .kind = "search.urgent"}};
+    HrTables tables = {.routes = routes, .route_count = 3};
+
+    (void)state;
+    assert_string_equal(HrTables_FindRoute(&tables, "search.urgent")->name,
+                        "c");
+    assert_string_equal(HrTables_FindRoute(&tables, "search.urgent2")->name,
+                        "b");
+    assert_string_equal(HrTables_FindRoute(&tables, "search")->name, "a");
+    tables.route_count = 0;
+    assert_null(HrTables_FindRoute(&tables, "search"));
+}
+
+/* Guards against an edit body that loses fields, and one that is taken
+ * although it is malformed. */
+static void
+test_edit_body(void **state)
+{
+    static const char *const bad[] = {
+        "{}",
+        "{\"edit_id\":\"e\",\"operator\":\"ann\",\"summary\":\"\"}",
+        "{\"edit_id\":\"e\",\"operator\":\"ann\",\"summary\":\"\","
+        "\"based_on\":-1}",
+        "{\"edit_id\":\"e\",\"operator\":\"a b\",\"summary\":\"\","
+        "\"based_on\":1}",
+        "{\"edit_id\":\"e\",\"operator\":\"ann\",\"summary\":\"\\n\","
+        "\"based_on\":1}",
+        "{\"edit_id\":\"e\",\"operator\":\"ann\",\"summary\":\"\","
+        "\"based_on\":1,\"delete_routes\":[1]}",
+        "{\"edit_id\":\"e\",\"operator\":\"ann\",\"summary\":\"\","
+        "\"based_on\":1,\"force\":true}",
+    };
+    HrRng rng = HrRng_FromSeed(SEED);
+    size_t i;
+
+    (void)state;
+    for (i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        HrError err = {0};
+
+        assert_null(HrTablesEdit_FromJson(NULL, bad[i], strlen(bad[i]),
+                                          "request", &err));
+        assert_non_null(strstr(err.message, "request"));
+    }
+    for (i = 0; i < 500; i++) {
+        ModelEdit edit = {.id = "e1", .operator_name = "ann", .based_on = 4};
+        HrTablesEdit *request, *copy;
+        HrError err = {0};
+        json_t *json, *again;
+        char *text;
+
+        ModelEdit_Random(&edit, &rng);
+        request = ModelEdit_ToTables(NULL, &edit);
+        json = HrTablesEdit_ToJson(request);
+        text = json_dumps(json, 0);
+        copy =
+            HrTablesEdit_FromJson(NULL, text, strlen(text), "request", &err);
+        assert_non_null(copy);
+        again = HrTablesEdit_ToJson(copy);
+        assert_true(json_equal(json, again));
+        json_decref(json);
+        json_decref(again);
+        free(text);
+        talloc_free(request);
+        talloc_free(copy);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_text_is_read),
+        cmocka_unit_test(test_malformed_text_is_refused),
+        cmocka_unit_test(test_caps),
+        cmocka_unit_test(test_damaged_text_never_yields_invalid_tables),
+        cmocka_unit_test(test_edits_texts_and_deltas_match_naive_version),
+        cmocka_unit_test(test_history_is_bounded),
+        cmocka_unit_test(test_tombstones_are_kept_seven_days),
+        cmocka_unit_test(test_exact_kind_wins_then_longest_prefix),
+        cmocka_unit_test(test_edit_body),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
