--- /dev/null
+++ b/tests/test-proto-config.c
@@ -0,0 +1,223 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include <cmocka.h>
+
+#include "base-rng.h"
+#include "common-config-model.h"
+#include "proto-config-codec.h"
+#include "proto-config.pb-c.h"
+#include "state-tables-check.h"
+#include "state-tables-json.h"
+
+#define SEED UINT64_C(46400)
+
+/* Returns random tables. */
+static HrTables *
+make_tables(const void *parent, HrRng *rng)
+{
+    HrTables *tables = NULL;
+    uint32_t i;
+
+    for (i = 0; i < 6; i++) {
+        ModelEdit edit = {.operator_name = "ann"};
+        HrTables *next;
+
+        snprintf(edit.id, sizeof(edit.id), "e%u", i);
+        ModelEdit_Random(&edit, rng);
+        next = HrTablesEdit_Apply(parent, tables,
+                                  ModelEdit_ToTables(parent, &edit), i, NULL);
+        tables = next == NULL ? tables : next;
+    }
+    return tables;
+}
+
+/* Returns a delta message with all rows. */
+static HrConfigMessage
+make_delta(const HrTables *tables)
+{
+    HrConfigMessage message = {
+        .type = HR_CONFIG_MESSAGE_DELTA,
+        .revision = tables->revision,
+        .digest = tables->digest,
+        .age_ms = HR_CONFIG_AGE_UNKNOWN,
+        .u.delta = {.full = true, .from_revision = 3, .rows = tables}};
+
+    return message;
+}
+
+/* Guards against fields that change on the way through the bytes. */
+static void
+test_messages_survive(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    int i;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (i = 0; i < 2000; i++) {
+        void *memory = talloc_new(NULL);
+        HrTables *tables = make_tables(memory, &rng);
+        HrConfigMessage message, *copy;
+        HrBytes bytes;
+        HrError err = {0};
+
+        if (tables != NULL) {
+            message = make_delta(tables);
+            assert_int_equal(HrConfigMessage_Encode(memory, &message, &bytes),
+                             HR_OK);
+            copy = HrConfigMessage_Decode(memory, bytes, &err);
+            assert_non_null(copy);
+            assert_int_equal(copy->type, HR_CONFIG_MESSAGE_DELTA);
+            assert_int_equal(copy->age_ms, HR_CONFIG_AGE_UNKNOWN);
+            assert_true(copy->u.delta.full);
+            assert_int_equal(copy->u.delta.from_revision, 3);
+            assert_int_equal(copy->digest, tables->digest);
+            assert_string_equal(
+                HrTables_ToStoreText(memory, copy->u.delta.rows),
+                HrTables_ToStoreText(memory, tables));
+        }
+        talloc_free(memory);
+    }
+}
+
+/* Guards against a hint or pull that loses a field. */
+static void
+test_hint_and_pull_survive(void **state)
+{
+    HrConfigMessage message = {.type = HR_CONFIG_MESSAGE_PULL,
+                               .revision = 5,
+                               .digest = UINT64_MAX,
+                               .age_ms = 77,
+                               .u.pull.full = true};
+    void *memory = talloc_new(NULL);
+    HrConfigMessage *copy;
+    HrBytes bytes;
+
+    (void)state;
+    assert_int_equal(HrConfigMessage_Encode(memory, &message, &bytes), HR_OK);
+    copy = HrConfigMessage_Decode(memory, bytes, NULL);
+    assert_int_equal(copy->type, HR_CONFIG_MESSAGE_PULL);
+    assert_true(copy->u.pull.full);
+    assert_int_equal(copy->revision, 5);
+    assert_true(copy->digest == UINT64_MAX);
+    assert_int_equal(copy->age_ms, 77);
+    message.type = HR_CONFIG_MESSAGE_HINT;
+    assert_int_equal(HrConfigMessage_Encode(memory, &message, &bytes), HR_OK);
+    copy = HrConfigMessage_Decode(memory, bytes, NULL);
+    assert_int_equal(copy->type, HR_CONFIG_MESSAGE_HINT);
+    talloc_free(memory);
+}
+
+/* Guards against damaged bytes that crash the decoder or yield rows that do
+ * not pass the checks. */
+static void
+test_damaged_bytes_never_yield_invalid_rows(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED + 1);
+    void *memory = talloc_new(NULL);
+    HrTables *tables = make_tables(memory, &rng);
+    HrConfigMessage message = make_delta(tables);
+    uint32_t taken = 0, i;
+    HrBytes bytes;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED + 1);
+    assert_int_equal(HrConfigMessage_Encode(memory, &message, &bytes), HR_OK);
+    for (i = 0; i < 50000; i++) {
+        uint8_t *damaged =
+            talloc_memdup(memory, bytes.data, bytes.length_bytes);
+        HrBytes input = {damaged, bytes.length_bytes};
+        HrConfigMessage *copy;
+        HrError err = {0};
+        uint64_t changes = 1 + HrRng_Below(&rng, 3), j;
+
+        for (j = 0; j < changes; j++) {
+            damaged[HrRng_Below(&rng, bytes.length_bytes)] =
+                (uint8_t)HrRng_Below(&rng, 256);
+        }
+        if (HrRng_Chance(&rng, 0.2)) {
+            input.length_bytes = HrRng_Below(&rng, bytes.length_bytes);
+        }
+        copy = HrConfigMessage_Decode(memory, input, &err);
+        if (copy == NULL) {
+            assert_true(err.kind < 0 && err.message[0] != '\0');
+        }
+        else if (copy->type == HR_CONFIG_MESSAGE_DELTA) {
+            taken++;
+            assert_int_equal(
+                HrTables_CheckRows(copy->u.delta.rows, "again", &err), HR_OK);
+        }
+        talloc_free(copy);
+        talloc_free(damaged);
+    }
+    assert_in_range(taken, 1, 49999);
+    talloc_free(memory);
+}
+
+/* Guards against a few bytes that make the decoder allocate without limit,
+ * and against an input of any length. */
+static void
+test_memory_is_bounded(void **state)
+{
+    const size_t length = HR_CONFIG_MESSAGE_MAX_BYTES;
+    uint8_t *data = talloc_array(NULL, uint8_t, length + 1);
+    HrBytes bytes = {data, length};
+    HrError err = {0};
+    size_t i;
+
+    (void)state;
+    for (i = 0; i + 1 < length; i += 2) {
+        data[i] = 0x3a; /* field 7: an empty route */
+        data[i + 1] = 0;
+    }
+    assert_null(HrConfigMessage_Decode(NULL, bytes, &err));
+    assert_int_equal(err.kind, HR_ERR_PROTOCOL);
+    bytes.length_bytes++;
+    assert_null(HrConfigMessage_Decode(NULL, bytes, &err));
+    assert_int_equal(err.kind, HR_ERR_TOO_LARGE);
+    talloc_free(data);
+}
+
+/* Guards against an undefined type and an enum out of range that are taken. */
+static void
+test_undefined_values_are_refused(void **state)
+{
+    static const uint8_t type[] = {0x08, 0x09};
+    HrTombstone tombstone = {
+        .table = (HrTableKind)7, .name = "p0", .revision = 1};
+    HrTables rows = {
+        .revision = 1, .tombstones = &tombstone, .tombstone_count = 1};
+    HrConfigMessage message = make_delta(&rows);
+    HrBytes bytes = {type, sizeof(type)};
+    HrError err = {0};
+    void *memory = talloc_new(NULL);
+
+    (void)state;
+    assert_null(HrConfigMessage_Decode(memory, bytes, &err));
+    assert_int_equal(err.kind, HR_ERR_PROTOCOL);
+    assert_int_equal(HrConfigMessage_Encode(memory, &message, &bytes), HR_OK);
+    assert_null(HrConfigMessage_Decode(memory, bytes, &err));
+    assert_int_equal(err.kind, HR_ERR_RANGE);
+    assert_non_null(strstr(err.message, "\"table\""));
+    talloc_free(memory);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_messages_survive),
+        cmocka_unit_test(test_hint_and_pull_survive),
+        cmocka_unit_test(test_damaged_bytes_never_yield_invalid_rows),
+        cmocka_unit_test(test_memory_is_bounded),
+        cmocka_unit_test(test_undefined_values_are_refused),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
