--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,8 @@
 programs: $(PROGRAMS) $(LIB) $(LIB_SHARED) $(TOOLS) $(EXAMPLES)
 
 test: programs $(TESTS)
+	@for e in $(EXAMPLES); do $$e >/dev/null || \
+	    { echo "example $$e failed"; exit 1; }; done
 	@BIN=$(BUILD)/bin .ci/run-tests $(TESTS)
 
 bench: deps
