--- /dev/null
+++ b/src/daemon-control-config.c
@@ -0,0 +1,233 @@
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-config.h"
+#include "daemon-control-state.h"
+#include "proto-config-codec.h"
+
+struct HrControlConfig {
+    HrControl *control;
+    HrConfig *config;
+    HrLoopTimer *timer;
+};
+
+static void handle_event(HrControlConfig *config, HrConfigEvent *event);
+
+/* Hands the end of a store call to the module. */
+static void
+handle_store_end(void *arg, uint64_t number, const HrStoreEnd *end)
+{
+    static const HrStoreResult results[] = {
+        [HR_STORE_END_VALUE] = HR_STORE_VALUE,
+        [HR_STORE_END_ABSENT] = HR_STORE_ABSENT,
+        [HR_STORE_END_SAME] = HR_STORE_SAME,
+        [HR_STORE_END_MISMATCH] = HR_STORE_MISMATCH,
+        [HR_STORE_END_NOT_DONE] = HR_STORE_NOT_DONE,
+        [HR_STORE_END_LOST] = HR_STORE_LOST,
+    };
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_STORE_REPLY};
+
+    event.u.store_reply.request_id = number;
+    event.u.store_reply.result = results[end->kind];
+    event.u.store_reply.revision = end->revision;
+    event.u.store_reply.value = end->value;
+    handle_event(arg, &event);
+}
+
+/* Reads or watches the store. */
+static void
+read_store(HrControlConfig *config, const HrStoreRead *read)
+{
+    HrStoreGet get = {.key = read->key,
+                      .watch = read->watch,
+                      .watch_revision = read->watch_revision,
+                      .wait_ms = read->wait_ms,
+                      .timeout_ms = read->timeout_ms};
+
+    HrStoreClient_Get(config->control->store, &get, read->request_id,
+                      handle_store_end, config);
+}
+
+/* Sends a message to another daemon. */
+static void
+send_message(HrControlConfig *config, uint64_t to_id,
+             const HrConfigMessage *content)
+{
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_PEER_SEND);
+    HrPeerFrame *frame = talloc_zero(message, HrPeerFrame);
+
+    if (message == NULL || frame == NULL ||
+        HrConfigMessage_Encode(frame, content, &frame->u.opaque) != HR_OK) {
+        talloc_free(message);
+        return;
+    }
+    frame->kind = HR_PEER_CONFIG;
+    message->u.peer.frame = frame;
+    HrControl_SendFrame(config->control, to_id, message);
+}
+
+/* Puts new tables in force. */
+static void
+publish_tables(HrControlConfig *config, HrTables *tables)
+{
+    HrTask *task = config->control->task;
+
+    HrLog_Write(task->daemon->log, HR_LOG_INFO, "tables_in_force", "{s:I}",
+                "revision", (json_int_t)tables->revision);
+    HrSnapshots_PublishTables(task->daemon->snapshots, task->reader,
+                              talloc_steal(NULL, tables));
+    HrControl_TablesChanged(config->control);
+}
+
+/* Logs an alarm, or that it is over. */
+static void
+log_alarm(HrControlConfig *config, const HrConfigAction *action)
+{
+    bool raised = action->u.alarm.alarm != HR_CONFIG_ALARM_NONE;
+
+    HrLog_Write(config->control->task->daemon->log,
+                raised ? HR_LOG_ERROR : HR_LOG_INFO, "config_alarm",
+                "{s:s,s:I,s:I,s:s}", "alarm",
+                HrConfigAlarm_Name(action->u.alarm.alarm), "held_revision",
+                (json_int_t)action->u.alarm.held_revision, "found_revision",
+                (json_int_t)action->u.alarm.found_revision, "message",
+                raised ? action->u.alarm.error.message : "");
+}
+
+/* Hands one event to the module and carries out its actions. */
+static void
+handle_event(HrControlConfig *config, HrConfigEvent *event)
+{
+    HrLoop *loop = config->control->task->loop;
+    HrConfigAction action;
+
+    event->now_ns = HrLoop_NowNs(loop);
+    HrConfig_Handle(config->config, event);
+    while (HrConfig_Next(config->config, &action)) {
+        switch (action.type) {
+        case HR_CONFIG_ACTION_READ:
+            read_store(config, &action.u.read);
+            break;
+        case HR_CONFIG_ACTION_SEND:
+            send_message(config, action.u.send.to_id, &action.u.send.message);
+            break;
+        case HR_CONFIG_ACTION_PUBLISH:
+            publish_tables(config, action.u.publish.tables);
+            break;
+        case HR_CONFIG_ACTION_ALARM:
+            log_alarm(config, &action);
+            break;
+        }
+    }
+    HrLoop_SetTimer(loop, config->timer, HrConfig_NextTimer(config->config));
+}
+
+/* Passes the time to the module. */
+static void
+fire_timer(void *arg)
+{
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_TIMER};
+
+    handle_event(arg, &event);
+}
+
+/* Creates the part. */
+HrControlConfig *
+HrControlConfig_Create(HrControl *control)
+{
+    const HrDaemon *daemon = control->task->daemon;
+    HrControlConfig *config = talloc_zero(control, HrControlConfig);
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_START};
+    HrConfigSettings settings;
+
+    if (config == NULL) {
+        return NULL;
+    }
+    config->control = control;
+    control->config = config;
+    HrConfigSettings_Default(&settings, daemon->daemon_id);
+    settings.counters = daemon->counters;
+    config->config = HrConfig_Create(
+        config, &settings, HrRng_FromSeed(HrRng_Next(&control->task->rng)));
+    config->timer = HrLoop_AddTimer(control->task->loop, fire_timer, config);
+    if (config->config == NULL || config->timer == NULL) {
+        return NULL;
+    }
+    handle_event(config, &event);
+    return config;
+}
+
+/* Handles a message of another daemon. */
+void
+HrControlConfig_Receive(HrControlConfig *config, uint64_t from_id,
+                        HrBytes bytes)
+{
+    HrConfigMessage *message = HrConfigMessage_Decode(config, bytes, NULL);
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_MESSAGE};
+
+    if (message == NULL) {
+        HrCounters_Add(config->control->task->daemon->counters,
+                       HR_COUNTER_peer_bad_frames, 1);
+        return;
+    }
+    event.u.message.from_id = from_id;
+    event.u.message.message = message;
+    handle_event(config, &event);
+    talloc_free(message);
+}
+
+/* Passes the present members to the module. */
+void
+HrControlConfig_MembersChanged(HrControlConfig *config)
+{
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_MEMBERS};
+
+    event.u.members =
+        HrSnapshots_Members(config->control->task->daemon->snapshots);
+    handle_event(config, &event);
+}
+
+/* Passes the tables of an accepted edit to the module. */
+void
+HrControlConfig_TakeTables(HrControlConfig *config, const HrTables *tables)
+{
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_LOCAL_TABLES};
+
+    event.u.tables = tables;
+    handle_event(config, &event);
+}
+
+/* Returns the highest revision that any source has named. */
+uint64_t
+HrControlConfig_KnownRevision(const HrControlConfig *config)
+{
+    return HrConfig_KnownRevision(config->config);
+}
+
+/* Returns the tables held; NULL before the first ones. */
+const HrTables *
+HrControlConfig_Tables(const HrControlConfig *config)
+{
+    return HrConfig_Tables(config->config);
+}
+
+/* Returns the state of the distribution. */
+json_t *
+HrControlConfig_Describe(const HrControlConfig *config)
+{
+    HrConfigStatus status = HrConfig_Status(
+        config->config, HrLoop_NowNs(config->control->task->loop));
+    char digest[24];
+
+    snprintf(digest, sizeof(digest), "%016llx",
+             (unsigned long long)status.digest);
+    return json_pack(
+        "{s:I,s:s,s:I,s:o,s:b,s:b,s:s,s:s}", "revision",
+        (json_int_t)status.revision, "digest", digest, "known_revision",
+        (json_int_t)status.known_revision, "age_ms",
+        status.age_ms == HR_CONFIG_AGE_UNKNOWN
+            ? json_null()
+            : json_integer((json_int_t)status.age_ms),
+        "store_reader", status.store_reader, "cut_off", status.cut_off,
+        "alarm", HrConfigAlarm_Name(status.alarm), "remedy", status.remedy);
+}
--- /dev/null
+++ b/src/daemon-control-maps.c
@@ -0,0 +1,620 @@
+#include <string.h>
+#include <talloc.h>
+#include <uthash.h>
+
+#include "coord-owner.h"
+#include "daemon-control-state.h"
+
+/* A group that has not reported for this long is not merged any more. */
+#define REPORT_KEEP_NS (10 * HR_NS_PER_S)
+/* A pool home that has not replied after this is given up; the asker then
+ * gets the maps that it has. */
+#define PULL_TIMEOUT_NS (300 * HR_NS_PER_MS)
+
+/* What the servers of one group hold, as last reported. */
+typedef struct GroupReport {
+    UT_hash_handle hh;
+    char *group;
+    HrGroupVersion *versions;
+    uint32_t version_count;
+    uint64_t hash; /* of the encoded report */
+    int64_t received_ns;
+} GroupReport;
+
+/* One pool. The first part is used where this daemon is the pool home, the
+ * second where it pulls from the home. */
+typedef struct Pool {
+    UT_hash_handle hh;
+    char *name;
+    GroupReport *reports; /* hash */
+    HrIndexMapSet *merged;
+    HrLoopTimer *pull_timer;
+    bool pull_open;
+    HrIndexMapSet *held; /* what the tasks of this daemon use; a copy */
+    struct HrControlMaps *owner;
+} Pool;
+
+struct HrControlMaps {
+    HrControl *control;
+    Pool *pools; /* hash */
+};
+
+/* Copies shards as children of parent; NULL when memory runs out. */
+static HrShard *
+copy_shards(const void *parent, const HrShard *shards, uint32_t count)
+{
+    HrShard *copy = talloc_array(parent, HrShard, count);
+    uint32_t i;
+
+    for (i = 0; copy != NULL && i < count; i++) {
+        copy[i] = shards[i];
+        copy[i].name = talloc_strdup(copy, shards[i].name);
+        copy[i].group = talloc_strdup(copy, shards[i].group);
+        if (copy[i].name == NULL || copy[i].group == NULL) {
+            TALLOC_FREE(copy);
+        }
+    }
+    return copy;
+}
+
+/* Copies one map as a child of parent. */
+static HrIndexMap *
+copy_map(const void *parent, const char *pool, const HrIndexMap *map)
+{
+    HrIndexMap *copy = talloc_zero(parent, HrIndexMap);
+
+    if (copy == NULL) {
+        return NULL;
+    }
+    copy->pool = talloc_strdup(copy, pool);
+    copy->version = map->version;
+    copy->shard_count = map->shard_count;
+    copy->shards = copy_shards(copy, map->shards, map->shard_count);
+    if (copy->pool == NULL || copy->shards == NULL) {
+        TALLOC_FREE(copy);
+    }
+    return copy;
+}
+
+/* Copies a set of maps as a child of parent; NULL when memory runs out. */
+static HrIndexMapSet *
+copy_set(const void *parent, const char *pool, const HrIndexMapSet *set)
+{
+    HrIndexMapSet *copy = talloc_zero(parent, HrIndexMapSet);
+    uint32_t i;
+
+    if (copy == NULL) {
+        return NULL;
+    }
+    copy->revision = set->revision;
+    copy->maps = talloc_array(copy, HrIndexMap *, set->map_count);
+    for (i = 0; copy->maps != NULL && i < set->map_count; i++) {
+        copy->maps[i] = copy_map(copy, pool, set->maps[i]);
+        if (copy->maps[i] == NULL) {
+            break;
+        }
+        copy->map_count++;
+    }
+    if (copy->map_count < set->map_count) {
+        TALLOC_FREE(copy);
+    }
+    return copy;
+}
+
+/* Orders pools by name, for the lookup in the published table. */
+static int
+compare_pools(const void *left, const void *right)
+{
+    return strcmp(((const HrPoolMaps *)left)->pool,
+                  ((const HrPoolMaps *)right)->pool);
+}
+
+/* Publishes the maps of all pools. */
+static void
+publish_maps(HrControlMaps *maps)
+{
+    HrTask *task = maps->control->task;
+    HrMapTable *table = talloc_zero(NULL, HrMapTable);
+    const Pool *pool;
+
+    if (table == NULL) {
+        return;
+    }
+    table->pools = talloc_array(table, HrPoolMaps, HASH_COUNT(maps->pools));
+    for (pool = maps->pools; table->pools != NULL && pool != NULL;
+         pool = pool->hh.next) {
+        HrPoolMaps *entry = &table->pools[table->pool_count];
+
+        if (pool->held == NULL) {
+            continue;
+        }
+        entry->pool = talloc_strdup(table, pool->name);
+        entry->set = copy_set(table, pool->name, pool->held);
+        if (entry->pool != NULL && entry->set != NULL) {
+            table->pool_count++;
+        }
+    }
+    if (table->pool_count > 0) {
+        qsort(table->pools, table->pool_count, sizeof(HrPoolMaps),
+              compare_pools);
+    }
+    HrSnapshots_PublishMaps(task->daemon->snapshots, task->reader, table);
+}
+
+/* Tells the query tasks that the maps of a pool have been checked. */
+static void
+notify_queries(HrControlMaps *maps, const char *pool)
+{
+    HrTask *task = maps->control->task;
+    uint32_t i;
+
+    for (i = 0; i < task->daemon->query_count; i++) {
+        HrMessage *message = HrMessage_Create(HR_MESSAGE_MAPS_CHECKED);
+
+        if (message != NULL) {
+            message->u.maps.pool = HrMessage_CopyText(message, pool);
+        }
+        HrTask_Post(task, task->daemon->query[i], message);
+    }
+}
+
+/* Ends the wait for a pool home. */
+static void
+end_pull(Pool *pool)
+{
+    HrLoop *loop = pool->owner->control->task->loop;
+
+    pool->pull_open = false;
+    HrLoop_SetTimer(loop, pool->pull_timer, HR_TIME_NEVER);
+    notify_queries(pool->owner, pool->name);
+}
+
+/* Gives up a pool home that does not reply. */
+static void
+fire_pull(void *arg)
+{
+    end_pull(arg);
+}
+
+/* Returns a pool's record, creating it when needed. */
+static Pool *
+obtain_pool(HrControlMaps *maps, const char *name)
+{
+    HrLoop *loop = maps->control->task->loop;
+    Pool *pool = NULL;
+
+    HASH_FIND_STR(maps->pools, name, pool);
+    if (pool != NULL) {
+        return pool;
+    }
+    pool = talloc_zero(maps, Pool);
+    if (pool == NULL) {
+        return NULL;
+    }
+    pool->owner = maps;
+    pool->name = talloc_strdup(pool, name);
+    pool->pull_timer = HrLoop_AddTimer(loop, fire_pull, pool);
+    if (pool->name == NULL || pool->pull_timer == NULL) {
+        HrLoop_RemoveTimer(loop, pool->pull_timer);
+        talloc_free(pool);
+        return NULL;
+    }
+    HASH_ADD_KEYPTR(hh, maps->pools, pool->name, strlen(pool->name), pool);
+    return pool;
+}
+
+/* Puts a set in force on this daemon. An empty set does not replace maps: a
+ * pool home that has just changed does not know all groups yet, and a stale
+ * map is harmless. */
+static void
+hold_set(Pool *pool, const HrIndexMapSet *set)
+{
+    HrIndexMapSet *copy;
+
+    if (set->map_count == 0 && pool->held != NULL &&
+        pool->held->map_count > 0) {
+        return;
+    }
+    copy = copy_set(pool, pool->name, set);
+    if (copy == NULL) {
+        return;
+    }
+    talloc_free(pool->held);
+    pool->held = copy;
+    publish_maps(pool->owner);
+}
+
+/* Returns the groups of a pool's row that have reported lately. Returns the
+ * number of groups; those without a report have no versions. */
+static uint32_t
+collect_reports(Pool *pool, const HrPool *row, const HrGroupVersion **lists,
+                uint32_t *counts)
+{
+    int64_t now_ns = HrLoop_NowNs(pool->owner->control->task->loop);
+    uint32_t i, j, count = 0;
+
+    for (i = 0; i < row->server_count; i++) {
+        const char *group = row->servers[i].group;
+        GroupReport *report = NULL;
+
+        for (j = 0; j < i && strcmp(row->servers[j].group, group) != 0; j++) {
+        }
+        if (j < i) {
+            continue;
+        }
+        HASH_FIND_STR(pool->reports, group, report);
+        if (report != NULL && now_ns - report->received_ns < REPORT_KEEP_NS) {
+            lists[count] = report->versions;
+            counts[count] = report->version_count;
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Returns a revision above the former one, also across pool homes. */
+static uint64_t
+next_revision(const Pool *pool)
+{
+    uint64_t wall_ms =
+        (uint64_t)HrClock_WallMs(pool->owner->control->task->daemon->clock);
+    uint64_t former = pool->merged != NULL ? pool->merged->revision : 0;
+
+    return wall_ms > former ? wall_ms : former + 1;
+}
+
+/* Merges the reports of a pool. */
+static void
+merge_pool(Pool *pool)
+{
+    const HrTables *tables =
+        HrSnapshots_Tables(pool->owner->control->task->daemon->snapshots);
+    const HrPool *row =
+        tables != NULL ? HrTables_FindPool(tables, pool->name) : NULL;
+    const HrGroupVersion **lists;
+    HrIndexMapSet *merged;
+    uint32_t *counts, count;
+
+    if (row == NULL) {
+        return;
+    }
+    lists = talloc_array(pool, const HrGroupVersion *, row->server_count);
+    counts = talloc_array(pool, uint32_t, row->server_count);
+    if (lists != NULL && counts != NULL) {
+        count = collect_reports(pool, row, lists, counts);
+        merged = HrIndexMapSet_Merge(pool, pool->name, lists, counts, count,
+                                     next_revision(pool));
+        if (merged != NULL) {
+            talloc_free(pool->merged);
+            pool->merged = merged;
+        }
+    }
+    talloc_free(lists);
+    talloc_free(counts);
+}
+
+/* Copies the versions of a report. */
+static HrGroupVersion *
+copy_versions(const void *parent, const HrPeerGroupReport *report)
+{
+    HrGroupVersion *copy =
+        talloc_array(parent, HrGroupVersion, report->version_count);
+    uint32_t i;
+
+    for (i = 0; copy != NULL && i < report->version_count; i++) {
+        copy[i] = report->versions[i];
+        copy[i].shards = copy_shards(copy, report->versions[i].shards,
+                                     report->versions[i].shard_count);
+        if (copy[i].shards == NULL) {
+            TALLOC_FREE(copy);
+        }
+    }
+    return copy;
+}
+
+/* Returns the hash of a report, to see whether it has changed. */
+static uint64_t
+hash_report(const HrPeerFrame *frame)
+{
+    HrBytes bytes;
+    uint64_t hash = 0;
+
+    if (HrPeerFrame_Encode(NULL, frame, 0, &bytes) == HR_OK) {
+        hash = HrHash_Bytes(bytes.data, bytes.length_bytes, 0);
+        talloc_free((void *)bytes.data);
+    }
+    return hash;
+}
+
+/* Returns the record of a group, creating it when needed. */
+static GroupReport *
+obtain_report(Pool *pool, const char *group)
+{
+    GroupReport *report = NULL;
+
+    HASH_FIND_STR(pool->reports, group, report);
+    if (report != NULL) {
+        return report;
+    }
+    report = talloc_zero(pool, GroupReport);
+    if (report == NULL) {
+        return NULL;
+    }
+    report->group = talloc_strdup(report, group);
+    if (report->group == NULL) {
+        talloc_free(report);
+        return NULL;
+    }
+    HASH_ADD_KEYPTR(hh, pool->reports, report->group, strlen(report->group),
+                    report);
+    return report;
+}
+
+/* Takes the report of a group in, as the pool home. */
+static void
+take_report(HrControlMaps *maps, const HrPeerFrame *frame)
+{
+    const HrPeerGroupReport *content = &frame->u.group_report;
+    const HrTables *tables =
+        HrSnapshots_Tables(maps->control->task->daemon->snapshots);
+    uint64_t hash = hash_report(frame);
+    GroupReport *report;
+    Pool *pool;
+
+    if (tables == NULL || HrTables_FindPool(tables, content->pool) == NULL) {
+        return;
+    }
+    pool = obtain_pool(maps, content->pool);
+    report = pool != NULL ? obtain_report(pool, content->group) : NULL;
+    if (report == NULL) {
+        return;
+    }
+    report->received_ns = HrLoop_NowNs(maps->control->task->loop);
+    if (report->versions != NULL && report->hash == hash) {
+        return;
+    }
+    talloc_free(report->versions);
+    report->versions = copy_versions(report, content);
+    report->version_count =
+        report->versions != NULL ? content->version_count : 0;
+    report->hash = hash;
+    merge_pool(pool);
+}
+
+/* Returns the pool home; 0 when there is no member. */
+static uint64_t
+find_home(const HrControlMaps *maps, const char *pool)
+{
+    const HrMemberView *view =
+        HrSnapshots_Members(maps->control->task->daemon->snapshots);
+
+    return view != NULL ? HrOwner_PoolHome(view, pool) : 0;
+}
+
+/* Passes the report of this daemon's scheduler to the pool home. */
+void
+HrControlMaps_LocalReport(HrControlMaps *maps, HrMessage *message)
+{
+    HrPeerFrame *frame = message->u.peer.frame;
+    HrMessage *forward;
+    uint64_t home;
+
+    if (frame == NULL) {
+        return;
+    }
+    home = find_home(maps, frame->u.group_report.pool);
+    if (home == maps->control->task->daemon->daemon_id) {
+        take_report(maps, frame);
+        return;
+    }
+    forward = HrMessage_Create(HR_MESSAGE_PEER_SEND);
+    if (forward == NULL || home == 0) {
+        talloc_free(forward);
+        return;
+    }
+    /* The content belongs to the message, not to the frame. */
+    forward->u.peer.frame = frame;
+    talloc_steal(forward, message->u.peer.frame);
+    talloc_steal(forward, frame->u.group_report.pool);
+    talloc_steal(forward, frame->u.group_report.group);
+    talloc_steal(forward, frame->u.group_report.versions);
+    HrControl_SendFrame(maps->control, home, forward);
+}
+
+/* Replies to a daemon that pulls maps. */
+static void
+reply_to_pull(HrControlMaps *maps, const HrMessage *request)
+{
+    const HrPeerMapPull *pull = &request->u.peer.frame->u.map_pull;
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_PEER_SEND);
+    HrPeerFrame *frame = talloc_zero(message, HrPeerFrame);
+    HrPeerMapReply *reply;
+    HrIndexMapSet *copy;
+    HrIndexMap *list;
+    Pool *pool = NULL;
+    uint32_t i;
+
+    HASH_FIND_STR(maps->pools, pull->pool, pool);
+    if (message == NULL || frame == NULL) {
+        talloc_free(message);
+        return;
+    }
+    frame->kind = HR_PEER_MAP_REPLY;
+    reply = &frame->u.map_reply;
+    reply->pool = HrMessage_CopyText(message, pull->pool);
+    if (pool != NULL && pool->merged != NULL) {
+        reply->revision = pool->merged->revision;
+        reply->unchanged = reply->revision == pull->known_revision;
+        copy = copy_set(message, pool->name, pool->merged);
+        list = copy != NULL
+                   ? talloc_array(message, HrIndexMap, copy->map_count)
+                   : NULL;
+        for (i = 0; list != NULL && !reply->unchanged && i < copy->map_count;
+             i++) {
+            list[i] = *copy->maps[i];
+            reply->map_count++;
+        }
+        reply->maps = list;
+    }
+    message->u.peer.link = request->u.peer.link;
+    message->u.peer.frame = frame;
+    HrControl_SendFrame(maps->control, request->u.peer.from_id, message);
+}
+
+/* Takes the pool home's reply in; a map that is not usable is left out. */
+static void
+take_reply(HrControlMaps *maps, const HrPeerMapReply *reply)
+{
+    HrIndexMapSet set = {.revision = reply->revision};
+    Pool *pool = NULL;
+    HrIndexMap *copies;
+    uint32_t i;
+
+    HASH_FIND_STR(maps->pools, reply->pool, pool);
+    if (pool == NULL || !pool->pull_open) {
+        return;
+    }
+    if (!reply->unchanged) {
+        copies = talloc_memdup(pool, reply->maps,
+                               reply->map_count * sizeof(HrIndexMap));
+        set.maps = talloc_array(pool, HrIndexMap *, reply->map_count);
+        for (i = 0; copies != NULL && set.maps != NULL && i < reply->map_count;
+             i++) {
+            if (HrIndexMap_IsUsable(&copies[i])) {
+                set.maps[set.map_count++] = &copies[i];
+            }
+        }
+        hold_set(pool, &set);
+        talloc_free(set.maps);
+        talloc_free(copies);
+    }
+    end_pull(pool);
+}
+
+/* Handles a frame of another daemon. */
+void
+HrControlMaps_Receive(HrControlMaps *maps, const HrMessage *message)
+{
+    const HrPeerFrame *frame = message->u.peer.frame;
+
+    switch (frame->kind) {
+    case HR_PEER_GROUP_REPORT:
+        take_report(maps, frame);
+        break;
+    case HR_PEER_MAP_PULL:
+        reply_to_pull(maps, message);
+        break;
+    case HR_PEER_MAP_REPLY:
+        take_reply(maps, &frame->u.map_reply);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Asks the pool home for its maps. */
+static void
+send_pull(Pool *pool, uint64_t home)
+{
+    HrControl *control = pool->owner->control;
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_PEER_SEND);
+    HrPeerFrame *frame = talloc_zero(message, HrPeerFrame);
+
+    if (message == NULL || frame == NULL) {
+        talloc_free(message);
+        return;
+    }
+    frame->kind = HR_PEER_MAP_PULL;
+    frame->u.map_pull.pool = HrMessage_CopyText(message, pool->name);
+    frame->u.map_pull.known_revision =
+        pool->held != NULL ? pool->held->revision : 0;
+    message->u.peer.frame = frame;
+    HrControl_SendFrame(control, home, message);
+}
+
+/* Brings the maps of a pool up to date for a query task. */
+void
+HrControlMaps_Wanted(HrControlMaps *maps, const HrMessage *message)
+{
+    HrTask *task = maps->control->task;
+    Pool *pool = obtain_pool(maps, message->u.maps.pool);
+    uint64_t home = find_home(maps, message->u.maps.pool);
+
+    if (pool == NULL) {
+        return;
+    }
+    if (home == 0 || home == task->daemon->daemon_id) {
+        if (pool->merged != NULL &&
+            (pool->held == NULL ||
+             pool->held->revision != pool->merged->revision)) {
+            hold_set(pool, pool->merged);
+        }
+        notify_queries(maps, pool->name);
+        return;
+    }
+    if (pool->pull_open) {
+        return;
+    }
+    pool->pull_open = true;
+    HrLoop_SetTimer(task->loop, pool->pull_timer,
+                    HrLoop_NowNs(task->loop) + PULL_TIMEOUT_NS);
+    send_pull(pool, home);
+}
+
+/* Empties the hashes before their entries go. */
+static int
+destroy_maps(HrControlMaps *maps)
+{
+    Pool *pool;
+
+    for (pool = maps->pools; pool != NULL; pool = pool->hh.next) {
+        HASH_CLEAR(hh, pool->reports);
+    }
+    HASH_CLEAR(hh, maps->pools);
+    return 0;
+}
+
+/* Creates the part. */
+HrControlMaps *
+HrControlMaps_Create(HrControl *control)
+{
+    HrControlMaps *maps = talloc_zero(control, HrControlMaps);
+
+    if (maps != NULL) {
+        maps->control = control;
+        control->maps = maps;
+        talloc_set_destructor(maps, destroy_maps);
+    }
+    return maps;
+}
+
+/* Returns the maps held, by pool. */
+json_t *
+HrControlMaps_Describe(const HrControlMaps *maps)
+{
+    json_t *list = json_array();
+    const Pool *pool;
+
+    for (pool = maps->pools; pool != NULL; pool = pool->hh.next) {
+        json_t *versions = json_array();
+        uint32_t i;
+
+        for (i = 0; pool->held != NULL && i < pool->held->map_count; i++) {
+            json_array_append_new(
+                versions,
+                json_pack("{s:I,s:i}", "version",
+                          (json_int_t)pool->held->maps[i]->version, "shards",
+                          (int)pool->held->maps[i]->shard_count));
+        }
+        json_array_append_new(
+            list,
+            json_pack(
+                "{s:s,s:I,s:b,s:o}", "pool", pool->name, "revision",
+                (json_int_t)(pool->held != NULL ? pool->held->revision : 0),
+                "home",
+                find_home(maps, pool->name) ==
+                    maps->control->task->daemon->daemon_id,
+                "versions", versions));
+    }
+    return list;
+}
--- /dev/null
+++ b/src/daemon-control-member.c
@@ -0,0 +1,265 @@
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-member.h"
+#include "daemon-control-state.h"
+#include "proto-member-codec.h"
+#include "state-address.h"
+
+/* The platform's list of VMs lags anyway, and each read costs a store call. */
+#define VM_LIST_INTERVAL_NS (5 * HR_NS_PER_S)
+
+struct HrControlMember {
+    HrControl *control;
+    HrMembership *membership;
+    HrLoopTimer *timer;
+    HrLoopTimer *vm_timer;
+};
+
+static void handle_event(HrControlMember *member, HrMemberEvent *event);
+
+/* Sends a message of the membership. */
+static void
+send_message(HrControlMember *member, const HrMemberAction *action)
+{
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_PEER_SEND);
+    HrPeerFrame *frame = talloc_zero(message, HrPeerFrame);
+
+    if (message == NULL || frame == NULL ||
+        HrMemberCodec_Encode(frame, &action->u.send.message, &frame->u.opaque,
+                             NULL) != HR_OK) {
+        talloc_free(message);
+        return;
+    }
+    frame->kind = HR_PEER_MEMBER;
+    message->u.peer.address =
+        HrMessage_CopyText(message, action->u.send.address);
+    message->u.peer.fresh = action->u.send.fresh_link;
+    message->u.peer.frame = frame;
+    HrControl_SendFrame(member->control, action->u.send.daemon_id, message);
+}
+
+/* Publishes the present view. */
+static void
+publish_view(HrControlMember *member)
+{
+    HrTask *task = member->control->task;
+    HrMemberView *view = HrMembership_View(member->membership, NULL);
+
+    if (view == NULL) {
+        return;
+    }
+    HrSnapshots_PublishMembers(task->daemon->snapshots, task->reader, view);
+    HrControl_MembersChanged(member->control);
+}
+
+/* Carries out the pending actions. */
+static void
+perform_actions(HrControlMember *member)
+{
+    HrLog *log = member->control->task->daemon->log;
+    bool changed = false;
+    HrMemberAction action;
+
+    while (HrMembership_Next(member->membership, &action)) {
+        switch (action.kind) {
+        case HR_MEMBER_ACTION_SEND:
+            send_message(member, &action);
+            break;
+        case HR_MEMBER_ACTION_VIEW:
+            changed = true;
+            break;
+        case HR_MEMBER_ACTION_GONE:
+            HrLog_Write(log, HR_LOG_WARN, "member_gone", "{s:I}", "daemon_id",
+                        (json_int_t)action.u.gone_id);
+            break;
+        case HR_MEMBER_ACTION_LEAVING:
+            HrLog_Write(log, HR_LOG_INFO, "platform_leaving", NULL);
+            HrControlDrain_Signal(member->control->drain);
+            break;
+        }
+    }
+    if (changed) {
+        publish_view(member);
+    }
+}
+
+/* Hands one event to the membership. */
+static void
+handle_event(HrControlMember *member, HrMemberEvent *event)
+{
+    HrLoop *loop = member->control->task->loop;
+
+    event->now_ns = HrLoop_NowNs(loop);
+    HrMembership_Handle(member->membership, event);
+    perform_actions(member);
+    HrLoop_SetTimer(loop, member->timer,
+                    HrMembership_NextTimer(member->membership));
+}
+
+/* Passes the time to the membership. */
+static void
+fire_timer(void *arg)
+{
+    HrMemberEvent event = {.kind = HR_MEMBER_EVENT_TIMER};
+
+    handle_event(arg, &event);
+}
+
+/* Returns the port part of an address, with its colon. */
+static const char *
+port_part(const char *address)
+{
+    return strrchr(address, ':');
+}
+
+/* Fills the peer address of a VM. The list names IP addresses; all daemons of
+ * a cluster then use the same peer port. */
+static void
+fill_vm(const HrControlMember *member, const HrStoreVm *source, HrVm *vm)
+{
+    const char *own = member->control->task->daemon->peer_address;
+    HrSockAddress parsed;
+
+    if (HrSockAddress_Parse(source->address, &parsed) == HR_OK) {
+        snprintf(vm->peer_address, sizeof(vm->peer_address), "%s",
+                 source->address);
+    }
+    else {
+        bool is_v6 = strchr(source->address, ':') != NULL;
+
+        snprintf(vm->peer_address, sizeof(vm->peer_address),
+                 is_v6 ? "[%s]%s" : "%s%s", source->address, port_part(own));
+    }
+    vm->leaving = source->leaving;
+}
+
+/* Hands the platform's list to the membership. An empty list says nothing. */
+static void
+receive_vms(void *arg, const HrStoreVm *vms, uint32_t count)
+{
+    HrControlMember *member = arg;
+    HrMemberEvent event = {.kind = HR_MEMBER_EVENT_VM_LIST};
+    HrVm *list = talloc_zero_array(member, HrVm, count);
+    uint32_t i;
+
+    if (count == 0 || list == NULL) {
+        talloc_free(list);
+        return;
+    }
+    for (i = 0; i < count; i++) {
+        fill_vm(member, &vms[i], &list[i]);
+    }
+    event.u.vm_list.vms = list;
+    event.u.vm_list.vm_count = count;
+    handle_event(member, &event);
+    talloc_free(list);
+}
+
+/* Reads the platform's list. */
+static void
+fire_vm_list(void *arg)
+{
+    HrControlMember *member = arg;
+    HrLoop *loop = member->control->task->loop;
+
+    HrStoreClient_ListVms(member->control->store, receive_vms, member);
+    HrLoop_SetTimer(loop, member->vm_timer,
+                    HrLoop_NowNs(loop) + VM_LIST_INTERVAL_NS);
+}
+
+/* Handles a message of another daemon's membership. */
+void
+HrControlMember_Receive(HrControlMember *member, uint64_t from_id,
+                        HrBytes bytes)
+{
+    void *scratch = talloc_new(member);
+    HrMemberEvent event = {.kind = HR_MEMBER_EVENT_MESSAGE};
+    HrMemberMessage message;
+
+    if (HrMemberCodec_Decode(scratch, bytes, &message, NULL) == HR_OK &&
+        message.sender.daemon_id == from_id) {
+        event.u.message = &message;
+        handle_event(member, &event);
+    }
+    else {
+        HrCounters_Add(member->control->task->daemon->counters,
+                       HR_COUNTER_peer_bad_frames, 1);
+    }
+    talloc_free(scratch);
+}
+
+/* Announces that this daemon leaves. */
+void
+HrControlMember_Leave(HrControlMember *member)
+{
+    HrMemberEvent event = {.kind = HR_MEMBER_EVENT_LEAVE};
+
+    handle_event(member, &event);
+}
+
+/* Announces the spare capacity. */
+void
+HrControlMember_SetSpare(HrControlMember *member, uint32_t percent)
+{
+    HrMemberEvent event = {.kind = HR_MEMBER_EVENT_LOAD};
+
+    event.u.spare_percent = percent;
+    handle_event(member, &event);
+}
+
+/* Fills the record of this daemon. */
+static void
+fill_self(const HrDaemon *daemon, HrMember *self)
+{
+    self->daemon_id = daemon->daemon_id;
+    self->incarnation = daemon->incarnation;
+    self->spare_percent = 100;
+    snprintf(self->peer_address, sizeof(self->peer_address), "%s",
+             daemon->peer_address);
+    snprintf(self->caller_address, sizeof(self->caller_address), "%s",
+             daemon->caller_address);
+    snprintf(self->data_centre, sizeof(self->data_centre), "%s",
+             daemon->settings->data_centre);
+    snprintf(self->region, sizeof(self->region), "%s",
+             daemon->settings->region);
+}
+
+/* Creates the part and names the seeds to it. */
+HrControlMember *
+HrControlMember_Create(HrControl *control)
+{
+    const HrDaemon *daemon = control->task->daemon;
+    HrControlMember *member = talloc_zero(control, HrControlMember);
+    HrMemberConfig config;
+    uint32_t i;
+
+    if (member == NULL) {
+        return NULL;
+    }
+    member->control = control;
+    control->member = member;
+    HrMemberConfig_Default(&config);
+    fill_self(daemon, &config.self);
+    config.counters = daemon->counters;
+    member->membership = HrMembership_Create(
+        member, &config, HrRng_FromSeed(HrRng_Next(&control->task->rng)));
+    member->timer = HrLoop_AddTimer(control->task->loop, fire_timer, member);
+    member->vm_timer =
+        HrLoop_AddTimer(control->task->loop, fire_vm_list, member);
+    if (member->membership == NULL || member->timer == NULL ||
+        member->vm_timer == NULL) {
+        return NULL;
+    }
+    for (i = 0; i < daemon->settings->peer_seed_count; i++) {
+        HrMemberEvent event = {.kind = HR_MEMBER_EVENT_SEED};
+
+        event.u.seed = daemon->settings->peer_seeds[i];
+        handle_event(member, &event);
+    }
+    fire_timer(member);
+    publish_view(member);
+    fire_vm_list(member);
+    return member;
+}
--- /dev/null
+++ b/src/daemon-control-request.c
@@ -0,0 +1,316 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "coord-entry.h"
+#include "daemon-control-state.h"
+#include "state-tables-json.h"
+
+/* Returns a daemon id as text, which JSON numbers cannot hold. */
+static json_t *
+id_text(uint64_t id)
+{
+    char text[24];
+
+    snprintf(text, sizeof(text), "%016" PRIx64, id);
+    return json_string(text);
+}
+
+/* Returns the stable lower-case name of a member's state. */
+static const char *
+state_name(HrMemberState state)
+{
+    switch (state) {
+    case HR_MEMBER_ALIVE:
+        return "alive";
+    case HR_MEMBER_SUSPECT:
+        return "suspect";
+    case HR_MEMBER_LEAVING:
+        return "leaving";
+    case HR_MEMBER_DEAD:
+        return "dead";
+    }
+    return "other";
+}
+
+/* Answers GET /v1/members. Members do not announce their operator address, so
+ * only that of this daemon is known. */
+static json_t *
+describe_members(const HrControl *control)
+{
+    const HrDaemon *daemon = control->task->daemon;
+    const HrMemberView *view = HrSnapshots_Members(daemon->snapshots);
+    json_t *list = json_array();
+    uint32_t i;
+
+    for (i = 0; view != NULL && i < view->member_count; i++) {
+        const HrMember *member = &view->members[i];
+        bool self = member->daemon_id == daemon->daemon_id;
+
+        json_array_append_new(
+            list,
+            json_pack(
+                "{s:o,s:s,s:s,s:s,s:o,s:s,s:s,s:i}", "daemon_id",
+                id_text(member->daemon_id), "state", state_name(member->state),
+                "peer_address", member->peer_address, "caller_address",
+                member->caller_address, "operator_address",
+                self ? json_string(daemon->operator_address) : json_null(),
+                "data_centre", member->data_centre, "region", member->region,
+                "spare_percent", (int)member->spare_percent));
+    }
+    return json_pack("{s:o}", "members", list);
+}
+
+/* Answers GET /v1/entries. */
+static json_t *
+describe_entries(HrControl *control, const HrMessage *request)
+{
+    const HrDaemon *daemon = control->task->daemon;
+    const HrMemberView *view = HrSnapshots_Members(daemon->snapshots);
+    HrEntryRequest where = {request->u.request.data_centre,
+                            request->u.request.region};
+    json_t *entries = json_array();
+    HrEntryConfig config;
+    HrEntryList list;
+    uint32_t i;
+
+    memset(&list, 0, sizeof(list));
+    HrEntryConfig_Default(&config);
+    config.ttl_ms = daemon->settings->entries_keep_ms;
+    if (config.ttl_change_ms > config.ttl_ms) {
+        config.ttl_change_ms = config.ttl_ms;
+    }
+    if (where.data_centre == NULL) {
+        where.data_centre = daemon->settings->data_centre;
+    }
+    if (where.region == NULL) {
+        where.region = daemon->settings->region;
+    }
+    if (view != NULL) {
+        HrEntryList_Build(&config, view, &where, &control->task->rng, &list);
+    }
+    for (i = 0; i < list.entry_count; i++) {
+        json_array_append_new(entries,
+                              json_pack("{s:s,s:s,s:i}", "address",
+                                        list.entries[i].address, "data_centre",
+                                        list.entries[i].data_centre, "weight",
+                                        (int)list.entries[i].weight));
+    }
+    return json_pack("{s:o,s:i}", "entries", entries, "ttl_ms",
+                     (int)list.ttl_ms);
+}
+
+/* Returns the state of the store as this daemon sees it. */
+static json_t *
+describe_store(const HrControl *control)
+{
+    int64_t answered_ns;
+    bool up = HrStoreClient_IsUp(control->store, &answered_ns);
+    int64_t now_ns = HrLoop_NowNs(control->task->loop);
+
+    return json_pack(
+        "{s:b,s:o}", "up", up, "answered_age_ms",
+        answered_ns == HR_TIME_NEVER
+            ? json_null()
+            : json_integer((now_ns - answered_ns) / HR_NS_PER_MS));
+}
+
+/* Returns every counter. */
+static json_t *
+describe_counters(const HrCounters *counters)
+{
+    json_t *object = json_object();
+    int id;
+
+    for (id = 0; id < HR_COUNTER_COUNT; id++) {
+        json_object_set_new(object, HrCounters_Info((HrCounterId)id)->name,
+                            json_integer((json_int_t)HrCounters_Get(
+                                counters, (HrCounterId)id)));
+    }
+    return object;
+}
+
+/* Answers GET /v1/status. */
+static json_t *
+describe_status(HrControl *control)
+{
+    const HrDaemon *daemon = control->task->daemon;
+    const HrMemberView *view = HrSnapshots_Members(daemon->snapshots);
+    int64_t up_ns = HrLoop_NowNs(control->task->loop) - control->started_ns;
+
+    return json_pack(
+        "{s:o,s:I,s:s,s:s,s:s,s:s,s:I,s:s,s:i,s:i,s:o,s:o,s:o,s:o,s:o}",
+        "daemon_id", id_text(daemon->daemon_id), "incarnation",
+        (json_int_t)daemon->incarnation, "version", HR_VERSION, "cluster",
+        daemon->settings->cluster, "data_centre",
+        daemon->settings->data_centre, "region", daemon->settings->region,
+        "uptime_ms", (json_int_t)(up_ns / HR_NS_PER_MS), "drain",
+        HrControlDrain_StepName(control->drain), "members",
+        (int)(view != NULL ? view->member_count : 0), "open",
+        (int)HrControl_OpenCount(control), "tables",
+        HrControlConfig_Describe(control->config), "store",
+        describe_store(control), "claims",
+        HrControlClaims_Describe(control->claims), "maps",
+        HrControlMaps_Describe(control->maps), "counters",
+        describe_counters(daemon->counters));
+}
+
+/* Answers GET /readyz: what this daemon holds and how old it is. */
+static void
+answer_ready(HrControl *control, const HrMessage *request)
+{
+    const HrDaemon *daemon = control->task->daemon;
+    const HrMemberView *view = HrSnapshots_Members(daemon->snapshots);
+    bool draining = HrControlDrain_IsDraining(control->drain);
+    bool ready = !draining && HrControlConfig_Tables(control->config) != NULL;
+
+    HrControl_AnswerJson(
+        control, request->u.request.listener, request->u.request.number,
+        ready ? 200 : 503,
+        json_pack("{s:b,s:b,s:i,s:o,s:o,s:o}", "ready", ready, "draining",
+                  draining, "members",
+                  (int)(view != NULL ? view->member_count : 0), "tables",
+                  HrControlConfig_Describe(control->config), "store",
+                  describe_store(control), "maps",
+                  HrControlMaps_Describe(control->maps)));
+}
+
+/* Answers GET /v1/tables. */
+static json_t *
+describe_tables(HrControl *control)
+{
+    const HrTables *tables = HrControlConfig_Tables(control->config);
+
+    if (tables == NULL) {
+        return json_pack("{s:i,s:s,s:[],s:[],s:[]}", "revision", 0, "digest",
+                         "0000000000000000", "routes", "pools", "history");
+    }
+    return HrTables_ToJson(tables, HR_TABLES_FORM_OPERATOR);
+}
+
+/* Answers GET /v1/explain. */
+static void
+answer_explain(HrControl *control, const HrMessage *request)
+{
+    json_t *value = NULL;
+
+    if (request->u.request.kind != NULL) {
+        value = HrControl_Explain(control, request->u.request.kind,
+                                  request->u.request.key);
+    }
+    if (value != NULL) {
+        HrControl_AnswerJson(control, request->u.request.listener,
+                             request->u.request.number, 200, value);
+        return;
+    }
+    HrControl_AnswerJson(
+        control, request->u.request.listener, request->u.request.number, 404,
+        json_pack("{s:s,s:s}", "error", "not_found", "remedy",
+                  "name a kind that a route serves: ?kind=KIND&key=KEY"));
+}
+
+/* Returns the JSON answer to a GET without parameters, or NULL. */
+static json_t *
+describe_path(HrControl *control, const char *path)
+{
+    if (strcmp(path, "/v1/tables") == 0) {
+        return describe_tables(control);
+    }
+    if (strcmp(path, "/v1/members") == 0) {
+        return describe_members(control);
+    }
+    if (strcmp(path, "/v1/status") == 0) {
+        return describe_status(control);
+    }
+    if (strcmp(path, "/v1/claims") == 0) {
+        return HrControlClaims_Describe(control->claims);
+    }
+    if (strcmp(path, "/v1/config") == 0) {
+        return HrControlConfig_Describe(control->config);
+    }
+    return NULL;
+}
+
+/* Returns true if the answer needs the reports of other tasks. */
+static bool
+needs_reports(const char *path)
+{
+    return strcmp(path, "/v1/servers") == 0 ||
+           strcmp(path, "/v1/connections") == 0 ||
+           strcmp(path, "/v1/queues") == 0 || strcmp(path, "/v1/burn") == 0;
+}
+
+/* Serves a GET. Returns false when the path is not served. */
+static bool
+serve_get(HrControl *control, const HrMessage *request)
+{
+    const char *path = request->u.request.path;
+    json_t *value;
+
+    if (strcmp(path, "/v1/entries") == 0) {
+        value = describe_entries(control, request);
+    }
+    else if (strcmp(path, "/readyz") == 0) {
+        answer_ready(control, request);
+        return true;
+    }
+    else if (strcmp(path, "/v1/explain") == 0) {
+        answer_explain(control, request);
+        return true;
+    }
+    else if (needs_reports(path)) {
+        HrControlReports_Start(control->reports, request);
+        return true;
+    }
+    else {
+        value = describe_path(control, path);
+    }
+    if (value == NULL) {
+        return false;
+    }
+    HrControl_AnswerJson(control, request->u.request.listener,
+                         request->u.request.number, 200, value);
+    return true;
+}
+
+/* Serves a POST. Returns false when the path is not served. */
+static bool
+serve_post(HrControl *control, const HrMessage *request)
+{
+    const char *path = request->u.request.path;
+
+    if (strcmp(path, "/v1/tables") == 0) {
+        HrControlEdits_Start(control->edits, request, false);
+        return true;
+    }
+    if (strcmp(path, "/v1/tables/restore") == 0) {
+        HrControlEdits_Start(control->edits, request, true);
+        return true;
+    }
+    return false;
+}
+
+/* Serves a request of the caller or the operator listener. */
+void
+HrControl_ServeRequest(HrControl *control, const HrMessage *message)
+{
+    const char *method = message->u.request.method;
+    bool served = false;
+
+    if (strcmp(method, "GET") == 0) {
+        served = serve_get(control, message);
+    }
+    else if (strcmp(method, "POST") == 0) {
+        served = serve_post(control, message);
+    }
+    if (!served) {
+        HrCounters_Add(control->task->daemon->counters,
+                       HR_COUNTER_bad_requests, 1);
+        HrControl_AnswerJson(
+            control, message->u.request.listener, message->u.request.number,
+            404,
+            json_pack("{s:s,s:s}", "error", "not_found", "remedy",
+                      "see hickoryrouterd(8) for the paths and methods"));
+    }
+}
--- /dev/null
+++ b/src/daemon-run.c
@@ -0,0 +1,305 @@
+#include "daemon-run.h"
+
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "daemon-control.h"
+#include "daemon-http.h"
+#include "daemon-peer.h"
+#include "daemon-query.h"
+#include "daemon-sched.h"
+
+/* The daemon with what its main thread owns. */
+typedef struct Run {
+    HrDaemon daemon;
+    HrClock clock;
+    HrCounters counters;
+    HrRng rng;
+    int exit_fd;
+    int signal_fd;
+} Run;
+
+/* Blocks the signals that the main thread reads from a descriptor. It is done
+ * before other threads start, so that they inherit it. */
+static int
+open_signals(void)
+{
+    sigset_t set;
+
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    signal(SIGPIPE, SIG_IGN);
+    if (pthread_sigmask(SIG_BLOCK, &set, NULL) != 0) {
+        return -1;
+    }
+    return signalfd(-1, &set, SFD_CLOEXEC);
+}
+
+/* Raises the limit of open files to what is permitted: every caller and every
+ * link takes one. */
+static void
+raise_file_limit(void)
+{
+    struct rlimit limit;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+/* Creates a task with a random source of its own. */
+static HrTask *
+create_task(Run *run, const char *name, uint32_t index)
+{
+    return HrTask_Create(&run->daemon, name, index,
+                         HrRng_FromSeed(HrRng_Next(&run->rng)));
+}
+
+/* Creates several tasks of one kind; NULL when memory runs out. */
+static HrTask **
+create_tasks(Run *run, const char *name, uint32_t count)
+{
+    HrTask **tasks = talloc_zero_array(run, HrTask *, count);
+    uint32_t i;
+
+    for (i = 0; tasks != NULL && i < count; i++) {
+        tasks[i] = create_task(run, name, i);
+        if (tasks[i] == NULL) {
+            return NULL;
+        }
+    }
+    return tasks;
+}
+
+/* Creates all tasks. */
+static int
+create_all_tasks(Run *run)
+{
+    HrDaemon *daemon = &run->daemon;
+    const HrSettings *settings = daemon->settings;
+
+    daemon->snapshots = HrSnapshots_Create(run);
+    if (daemon->snapshots == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    daemon->query_count = settings->query_tasks;
+    daemon->sched_count = settings->sched_tasks;
+    daemon->http = create_task(run, "http", 0);
+    daemon->peer = create_task(run, "peer", 0);
+    daemon->control = create_task(run, "control", 0);
+    daemon->query = create_tasks(run, "query", daemon->query_count);
+    daemon->sched = create_tasks(run, "sched", daemon->sched_count);
+    return daemon->http != NULL && daemon->peer != NULL &&
+                   daemon->control != NULL && daemon->query != NULL &&
+                   daemon->sched != NULL
+               ? HR_OK
+               : HR_ERR_NO_MEMORY;
+}
+
+/* Returns an address, with port 0 replaced by the port that was bound. */
+static const char *
+bound_address(Run *run, const char *address, uint16_t port)
+{
+    const char *colon = strrchr(address, ':');
+
+    if (strcmp(colon, ":0") != 0) {
+        return address;
+    }
+    return talloc_asprintf(run, "%.*s:%u", (int)(colon - address), address,
+                           port);
+}
+
+/* Prepares all tasks. The listeners come first, because the control task
+ * announces their addresses. */
+static int
+init_tasks(Run *run, HrError *err)
+{
+    HrDaemon *daemon = &run->daemon;
+    const HrSettings *settings = daemon->settings;
+    uint32_t i;
+
+    if (HrHttpTask_Init(daemon->http, err) != HR_OK ||
+        HrPeerTask_Init(daemon->peer, err) != HR_OK) {
+        return err->kind;
+    }
+    daemon->caller_address =
+        bound_address(run, settings->caller_advertise,
+                      HrHttpTask_Port(daemon->http, HR_LISTENER_CALLER));
+    daemon->operator_address =
+        bound_address(run, settings->operator_listener.listen,
+                      HrHttpTask_Port(daemon->http, HR_LISTENER_OPERATOR));
+    daemon->peer_address = bound_address(run, settings->peer_advertise,
+                                         HrPeerTask_Port(daemon->peer));
+    for (i = 0; i < daemon->query_count; i++) {
+        if (HrQueryTask_Init(daemon->query[i]) != HR_OK) {
+            return HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+        }
+    }
+    for (i = 0; i < daemon->sched_count; i++) {
+        if (HrSchedTask_Init(daemon->sched[i]) != HR_OK) {
+            return HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+        }
+    }
+    if (HrControlTask_Init(daemon->control, run->exit_fd) != HR_OK) {
+        return HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+    }
+    return HR_OK;
+}
+
+/* Calls a function for each task. */
+static int
+for_each_task(HrDaemon *daemon, int (*fn)(HrTask *task))
+{
+    HrTask *const single[] = {daemon->control, daemon->peer, daemon->http};
+    uint32_t i;
+    int rc = HR_OK;
+
+    for (i = 0; i < sizeof(single) / sizeof(single[0]); i++) {
+        rc = single[i] != NULL && rc == HR_OK ? fn(single[i]) : rc;
+    }
+    for (i = 0; daemon->query != NULL && i < daemon->query_count; i++) {
+        rc = daemon->query[i] != NULL && rc == HR_OK ? fn(daemon->query[i])
+                                                     : rc;
+    }
+    for (i = 0; daemon->sched != NULL && i < daemon->sched_count; i++) {
+        rc = daemon->sched[i] != NULL && rc == HR_OK ? fn(daemon->sched[i])
+                                                     : rc;
+    }
+    return rc;
+}
+
+/* Stops a task and waits for its end. */
+static int
+stop_task(HrTask *task)
+{
+    HrMessage *message = HrMessage_Create(HR_MESSAGE_STOP);
+
+    while (HrTask_PostOutside(task, message) == HR_ERR_FULL) {
+        usleep(1000);
+    }
+    HrTask_Join(task);
+    return HR_OK;
+}
+
+/* Frees a task. */
+static int
+free_task(HrTask *task)
+{
+    talloc_free(task);
+    return HR_OK;
+}
+
+/* Tells the control task about a signal. */
+static void
+forward_signal(Run *run)
+{
+    struct signalfd_siginfo info;
+
+    if (read(run->signal_fd, &info, sizeof(info)) != sizeof(info)) {
+        return;
+    }
+    HrLog_Write(run->daemon.log, HR_LOG_INFO, "signal", "{s:i}", "number",
+                (int)info.ssi_signo);
+    HrTask_PostOutside(run->daemon.control,
+                       HrMessage_Create(HR_MESSAGE_SIGNAL));
+}
+
+/* Waits until the control task says that the shutdown has ended. */
+static void
+wait_for_exit(Run *run)
+{
+    struct pollfd fds[2] = {{.fd = run->signal_fd, .events = POLLIN},
+                            {.fd = run->exit_fd, .events = POLLIN}};
+
+    for (;;) {
+        if (poll(fds, 2, -1) < 0) {
+            continue;
+        }
+        if ((fds[0].revents & POLLIN) != 0) {
+            forward_signal(run);
+        }
+        if ((fds[1].revents & POLLIN) != 0) {
+            return;
+        }
+    }
+}
+
+/* Logs that the daemon serves, with the addresses that it is bound to. */
+static void
+log_start(const Run *run)
+{
+    const HrDaemon *daemon = &run->daemon;
+    char id[24];
+
+    snprintf(id, sizeof(id), "%016llx", (unsigned long long)daemon->daemon_id);
+    HrLog_Write(daemon->log, HR_LOG_INFO, "started", "{s:s,s:s,s:s,s:s,s:s}",
+                "version", HR_VERSION, "daemon_id", id, "caller",
+                daemon->caller_address, "operator", daemon->operator_address,
+                "peer", daemon->peer_address);
+}
+
+/* Runs the tasks from start to end. */
+static int
+run_tasks(Run *run, HrError *err)
+{
+    int rc = create_all_tasks(run);
+
+    if (rc != HR_OK) {
+        return HrError_Set(err, rc, "out of memory");
+    }
+    rc = init_tasks(run, err);
+    if (rc != HR_OK) {
+        return rc;
+    }
+    if (for_each_task(&run->daemon, HrTask_Start) != HR_OK) {
+        return HrError_Set(err, HR_ERR_UNAVAILABLE,
+                           "cannot start a thread: raise the limit of "
+                           "processes");
+    }
+    log_start(run);
+    wait_for_exit(run);
+    for_each_task(&run->daemon, stop_task);
+    HrLog_Write(run->daemon.log, HR_LOG_INFO, "stopped", NULL);
+    return HR_OK;
+}
+
+/* Runs the daemon until a graceful shutdown has ended. */
+int
+HrDaemon_Run(const HrSettings *settings, HrError *err)
+{
+    Run *run = talloc_zero(NULL, Run);
+    HrDaemon *daemon;
+    int rc;
+
+    if (run == NULL) {
+        return HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+    }
+    daemon = &run->daemon;
+    run->clock = HrClock_System();
+    run->rng = HrRng_FromSystem();
+    run->signal_fd = open_signals();
+    run->exit_fd = eventfd(0, EFD_CLOEXEC);
+    raise_file_limit();
+    daemon->settings = settings;
+    daemon->clock = &run->clock;
+    daemon->counters = &run->counters;
+    daemon->log = HrLog_Create(run, STDERR_FILENO, settings->log_level,
+                               daemon->clock, daemon->counters);
+    daemon->daemon_id = HrRng_Next(&run->rng);
+    daemon->incarnation = (uint64_t)HrTime_ToNs(HrClock_Wall(daemon->clock));
+    rc = run_tasks(run, err);
+    for_each_task(daemon, free_task);
+    close(run->signal_fd);
+    close(run->exit_fd);
+    talloc_free(run);
+    return rc;
+}
--- a/src/daemon-snapshot.h
+++ b/src/daemon-snapshot.h
@@ -16,7 +16,6 @@
 typedef struct HrPoolMaps {
     const char *pool;
     const HrIndexMapSet *set;
-    int64_t checked_ns; /* when the pool home last confirmed it */
 } HrPoolMaps;
 
 /* The index maps of all pools in use, sorted by pool. */
