--- a/src/daemon-control-maps.c
+++ b/src/daemon-control-maps.c
@@ -412,12 +412,7 @@
         talloc_free(forward);
         return;
     }
-    /* The content belongs to the message, not to the frame. */
-    forward->u.peer.frame = frame;
-    talloc_steal(forward, message->u.peer.frame);
-    talloc_steal(forward, frame->u.group_report.pool);
-    talloc_steal(forward, frame->u.group_report.group);
-    talloc_steal(forward, frame->u.group_report.versions);
+    forward->u.peer.frame = talloc_steal(forward, frame);
     HrControl_SendFrame(maps->control, home, forward);
 }
 
--- a/src/daemon-sched-poll.c
+++ b/src/daemon-sched-poll.c
@@ -236,13 +236,32 @@
                     HrLoop_NowNs(group->task->loop) + REPORT_INTERVAL_NS);
 }
 
-/* Adds what one server holds to the versions of the group. */
+/* Copies the shards of a version for a report; NULL when memory runs out. */
+static HrShard *
+copy_shards(const void *parent, const HrSchedGroup *group,
+            const HrBackendVersion *held)
+{
+    HrShard *shards = talloc_memdup(parent, held->shards,
+                                    held->shard_count * sizeof(HrShard));
+    uint32_t i;
+
+    for (i = 0; shards != NULL && i < held->shard_count; i++) {
+        shards[i].name = talloc_strdup(shards, held->shards[i].name);
+        shards[i].group = talloc_strdup(shards, group->name);
+        if (shards[i].name == NULL || shards[i].group == NULL) {
+            TALLOC_FREE(shards);
+        }
+    }
+    return shards;
+}
+
+/* Adds what one server holds to the versions of the group, which own the
+ * copies. */
 static void
-merge_status(HrMessage *message, const HrSchedGroup *group,
-             const HrBackendStatus *status, HrGroupVersion *versions,
-             uint32_t *count)
+merge_status(const HrSchedGroup *group, const HrBackendStatus *status,
+             HrGroupVersion *versions, uint32_t *count)
 {
-    uint32_t i, j, k;
+    uint32_t i, j;
 
     for (i = 0; i < status->version_count; i++) {
         const HrBackendVersion *held = &status->versions[i];
@@ -256,31 +275,49 @@
             versions[j].version = held->version;
             versions[j].live_servers = 0;
             versions[j].shard_count = held->shard_count;
-            versions[j].shards = talloc_memdup(
-                message, held->shards, held->shard_count * sizeof(HrShard));
+            versions[j].shards = copy_shards(versions, group, held);
             if (versions[j].shards == NULL) {
                 continue;
             }
-            for (k = 0; k < held->shard_count; k++) {
-                versions[j].shards[k].name =
-                    HrMessage_CopyText(message, held->shards[k].name);
-                versions[j].shards[k].group =
-                    HrMessage_CopyText(message, group->name);
-            }
             (*count)++;
         }
         versions[j].live_servers++;
     }
 }
 
+/* Fills a frame that reports what the servers hold; the frame owns all of it.
+ * Returns false when memory runs out. */
+static bool
+fill_report(const HrSchedGroup *group, HrPeerFrame *frame)
+{
+    HrPeerGroupReport *report = &frame->u.group_report;
+    HrGroupVersion *versions =
+        talloc_zero_array(frame, HrGroupVersion, HR_BACKEND_MAX_VERSIONS);
+    const HrSchedServer *server;
+
+    frame->kind = HR_PEER_GROUP_REPORT;
+    report->pool = talloc_strdup(frame, group->pool);
+    report->group = talloc_strdup(frame, group->name);
+    report->versions = versions;
+    if (versions == NULL || report->pool == NULL || report->group == NULL) {
+        return false;
+    }
+    for (server = group->servers; server != NULL; server = server->next) {
+        if (server->status != NULL &&
+            server->status->state != HR_SERVER_DRAINING) {
+            merge_status(group, server->status, versions,
+                         &report->version_count);
+        }
+    }
+    return true;
+}
+
 /* Sends what the servers hold to the pool home. */
 void
 HrSchedGroup_Report(HrSchedGroup *group)
 {
     HrMessage *message;
-    HrGroupVersion *versions;
-    const HrSchedServer *server;
-    uint32_t count = 0;
+    HrPeerFrame *frame;
 
     if (!group->placed) {
         return;
@@ -291,27 +328,11 @@
         return;
     }
     message = HrMessage_Create(HR_MESSAGE_GROUP_REPORT);
-    versions =
-        talloc_zero_array(message, HrGroupVersion, HR_BACKEND_MAX_VERSIONS);
-    if (message == NULL || versions == NULL) {
+    frame = talloc_zero(message, HrPeerFrame);
+    if (message == NULL || frame == NULL || !fill_report(group, frame)) {
         talloc_free(message);
         return;
     }
-    for (server = group->servers; server != NULL; server = server->next) {
-        if (server->status != NULL &&
-            server->status->state != HR_SERVER_DRAINING) {
-            merge_status(message, group, server->status, versions, &count);
-        }
-    }
-    message->u.peer.frame = talloc_zero(message, HrPeerFrame);
-    if (message->u.peer.frame != NULL) {
-        HrPeerGroupReport *report = &message->u.peer.frame->u.group_report;
-
-        message->u.peer.frame->kind = HR_PEER_GROUP_REPORT;
-        report->pool = HrMessage_CopyText(message, group->pool);
-        report->group = HrMessage_CopyText(message, group->name);
-        report->versions = versions;
-        report->version_count = count;
-    }
+    message->u.peer.frame = frame;
     HrTask_Post(group->task, group->task->daemon->control, message);
 }
