Drop two gather conditions that can never decide

Maps are used once, which already limits a query to one restart, and a shard that keeps a failure reason while it is open belongs to a non-idempotent request, which has no NOT_NEEDED end.

--- a/src/coord-gather-answer.c
+++ b/src/coord-gather-answer.c
@@ -9,9 +9,7 @@
     if (shard->state == HR_SHARD_LOST) {
         return HR_REASON_NO_VERSION;
     }
-    if (shard->state == HR_SHARD_OPEN &&
-        (shard->reason == HR_REASON_NONE ||
-         open_reason == HR_REASON_NOT_NEEDED)) {
+    if (shard->state == HR_SHARD_OPEN && shard->reason == HR_REASON_NONE) {
         return open_reason;
     }
     return shard->reason;
--- a/src/coord-gather-restart.c
+++ b/src/coord-gather-restart.c
@@ -2,9 +2,6 @@
 
 #include <talloc.h>
 
-/* A second restart would seldom end before the deadline. */
-#define MAX_RESTARTS 1
-
 /* Returns true if a restart now would have the time to end: at least the
  * configured time, and the time that this query's shards needed. */
 static bool
@@ -135,8 +132,8 @@
 HrGather_LoseVersion(HrGather *gather, HrGatherShard *shard, int64_t now_ns)
 {
     shard->reason = HR_REASON_NO_VERSION;
-    if (gather->answer.restarts >= MAX_RESTARTS ||
-        gather->pull == HR_PULL_USED || !has_time_to_restart(gather, now_ns)) {
+    /* Maps are used once: a second restart would seldom end in time. */
+    if (gather->pull == HR_PULL_USED || !has_time_to_restart(gather, now_ns)) {
         HrGatherSnapshot_SetState(gather->snapshot, shard, HR_SHARD_MISSING);
         return;
     }
--- a/src/coord-gather-snapshot.h
+++ b/src/coord-gather-snapshot.h
@@ -21,7 +21,7 @@
     HrBytes payload;
     int64_t latency_ns;
     HrGatherShardState state;
-    HrReason reason; /* of the last failed attempt */
+    HrReason reason; /* of the last attempt, when it failed */
     uint8_t rank;    /* of the last attempt */
     bool sent;       /* the last attempt was popped by the driver */
 } HrGatherShard;
--- a/src/coord-gather.h
+++ b/src/coord-gather.h
@@ -52,7 +52,9 @@
 } HrGatherEventKind;
 
 /* Starts the query. route, maps and key are read only during the call;
- * payload and caller must stay valid until the gather is freed. */
+ * payload and caller must stay valid until the gather is freed. A query of one
+ * shard (completion rule "single", and every non-idempotent request) needs a
+ * key unless the pool has just one shard; else it is refused as NO_ROUTE. */
 typedef struct HrGatherStart {
     const HrRoute *route;
     const HrIndexMapSet *maps; /* the newest map is pinned; may be NULL */
@@ -141,7 +143,8 @@
 /* Asks for the index maps of the pool, because no server holds the pinned
  * version. The driver always replies with one HR_GATHER_MAPS event: at once
  * when it knows a set with a larger revision, else after it has asked the
- * pool home, with the set that it then has. */
+ * pool home, with the set that it then has. Maps that the gather did not ask
+ * for are ignored. */
 typedef struct HrGatherPullMaps {
     const char *pool;
     uint64_t known_revision;
