--- a/src/coord-conns.c
+++ b/src/coord-conns.c
@@ -39,6 +39,8 @@
              uint32_t candidates)
 {
     memset(conns, 0, sizeof(*conns));
+    /* Idle connections may be left from when the server was last listed. */
+    conns->suspect = true;
     return HrConns_SetCap(conns, parent, cap, candidates);
 }
 
--- a/src/coord-eject.c
+++ b/src/coord-eject.c
@@ -57,6 +57,13 @@
     }
 }
 
+/* Counts a removed server again. */
+void
+HrEject_RestoreServer(HrEject *eject)
+{
+    eject->server_count++;
+}
+
 /* Notes that the server takes no new work. */
 static void
 note_draining(HrEjectServer *server, uint64_t start_id, int64_t now_ns)
--- a/src/coord-eject.h
+++ b/src/coord-eject.h
@@ -67,6 +67,9 @@
 /* Removes a server. */
 void HrEject_RemoveServer(HrEject *eject, HrEjectServer *server);
 
+/* Counts a removed server again, with what was known of it. */
+void HrEject_RestoreServer(HrEject *eject);
+
 /* Notes what a server says about itself in a report or answer that was
  * requested at requested_ns. Returns true if the server was restarted since
  * the newest earlier report; *is_current is false for a report of an earlier
--- a/src/coord-sched-attempt.c
+++ b/src/coord-sched-attempt.c
@@ -467,7 +467,9 @@
               int64_t now_ns)
 {
     free_slot(sched, attempt, now_ns);
-    note_sample(sched, attempt, HR_EJECT_FAILURE, now_ns);
+    if (!attempt->was_cancelled) {
+        note_sample(sched, attempt, HR_EJECT_FAILURE, now_ns);
+    }
     if (attempt->sub != NULL) {
         end_unknown(sched, attempt, reason, now_ns);
     }
--- a/src/coord-sched-int.h
+++ b/src/coord-sched-int.h
@@ -121,6 +121,7 @@
     uint64_t serial; /* of this server in this HrSched */
     uint32_t index;  /* in the array of servers */
     bool is_removed;
+    bool is_named;          /* in the tree of names */
     bool is_listed;         /* seen in the server set being applied */
     uint32_t attempt_count; /* attempts that refer to it */
     uint32_t slots;
--- a/src/coord-sched-server.c
+++ b/src/coord-sched-server.c
@@ -31,11 +31,22 @@
     server->attempt_count++;
 }
 
+/* Takes a server out of the names. */
+static void
+forget_name(HrSched *sched, HrSchedServer *server)
+{
+    if (server->is_named) {
+        RB_REMOVE(HrSchedServerTree, &sched->by_name, server);
+        server->is_named = false;
+    }
+}
+
 /* Forgets a removed server that no attempt refers to. */
 static void
 bury_unused(HrSched *sched, HrSchedServer *server)
 {
     if (server->is_removed && server->attempt_count == 0) {
+        forget_name(sched, server);
         HrTimerSet_Clear(&sched->timers, &server->timer);
         SLIST_INSERT_HEAD(&sched->dead_servers, server, in_graveyard);
     }
@@ -164,47 +175,68 @@
     server->timer.owner = server;
     HrSelectServer_Init(&server->select);
     HrEject_AddServer(&sched->eject, &server->eject);
+    server->is_named = true;
     RB_INSERT(HrSchedServerTree, &sched->by_name, server);
     return server;
 }
 
-/* Takes a server out of the group; its attempts go on. */
+/* Takes a server out of the group. It keeps its name while attempts at it go
+ * on, so that their slots still count if it is listed again. */
 static void
 remove_server(HrSched *sched, HrSchedServer *server)
 {
     count_slots(sched, server, 0, 0, false);
     server->is_removed = true;
     HrTimerSet_Clear(&sched->timers, &server->timer);
-    RB_REMOVE(HrSchedServerTree, &sched->by_name, server);
     HrEject_RemoveServer(&sched->eject, &server->eject);
     bury_unused(sched, server);
 }
 
-/* Finds or creates the server of a row. A name with a new address is another
- * server. Returns NULL when memory runs out. */
+/* Takes a removed server back. */
+static void
+restore_server(HrSched *sched, HrSchedServer *server)
+{
+    server->is_removed = false;
+    HrEject_RestoreServer(&sched->eject);
+}
+
+/* Returns the server of a row; a name with a new address is another server.
+ * Returns NULL when memory runs out. */
 static HrSchedServer *
-list_server(HrSched *sched, const HrServer *row)
+find_or_create(HrSched *sched, const HrServer *row)
 {
     HrSchedServer *server = find_server(sched, row->name);
 
-    if (server != NULL && strcmp(server->address, row->address) != 0) {
-        remove_server(sched, server);
-        server = NULL;
-    }
     if (server == NULL) {
-        server = create_server(sched, row);
+        return create_server(sched, row);
     }
+    if (strcmp(server->address, row->address) == 0) {
+        if (server->is_removed) {
+            restore_server(sched, server);
+        }
+        return server;
+    }
+    forget_name(sched, server);
+    if (!server->is_removed) {
+        remove_server(sched, server);
+    }
+    return create_server(sched, row);
+}
+
+/* Applies one row. Returns 0 or HR_ERR_NO_MEMORY. */
+static int
+list_server(HrSched *sched, const HrServer *row)
+{
+    HrSchedServer *server = find_or_create(sched, row);
+
     if (server == NULL) {
-        return NULL;
+        return HR_ERR_NO_MEMORY;
     }
     server->is_listed = true;
     server->slots = sched->policy.slots;
     server->eject.leaving_by_operator = row->leaving;
-    if (HrConns_SetCap(&server->conns, server, sched->policy.connections,
-                       sched->candidates) != HR_OK) {
-        return NULL;
-    }
-    return server;
+    return HrConns_SetCap(&server->conns, server, sched->policy.connections,
+                          sched->candidates);
 }
 
 /* Removes the servers that the new set does not list. */
@@ -216,7 +248,7 @@
     for (server = RB_MIN(HrSchedServerTree, &sched->by_name); server != NULL;
          server = next) {
         next = RB_NEXT(HrSchedServerTree, &sched->by_name, server);
-        if (!server->is_listed) {
+        if (!server->is_listed && !server->is_removed) {
             remove_server(sched, server);
         }
         server->is_listed = false;
@@ -231,8 +263,10 @@
     uint32_t count = 0;
 
     RB_FOREACH (server, HrSchedServerTree, &sched->by_name) {
-        server->index = count;
-        array[count++] = server;
+        if (!server->is_removed) {
+            server->index = count;
+            array[count++] = server;
+        }
     }
     talloc_free(sched->servers);
     sched->servers = array;
@@ -260,7 +294,7 @@
     apply_policy(sched, pool);
     for (i = 0; i < pool->server_count; i++) {
         if (strcmp(pool->servers[i].group, sched->group) == 0 &&
-            list_server(sched, &pool->servers[i]) == NULL) {
+            list_server(sched, &pool->servers[i]) != HR_OK) {
             rc = HR_ERR_NO_MEMORY;
         }
     }
@@ -333,7 +367,7 @@
     bool restarted, is_current;
     int rc = HR_OK;
 
-    if (server == NULL) {
+    if (server == NULL || server->is_removed) {
         return HR_ERR_NOT_FOUND;
     }
     HrEject_NotePoll(&sched->eject, &server->eject, report->failed,
