--- /dev/null
+++ b/bench/bench-tail.c
@@ -0,0 +1,252 @@
+/* Latency of 30-shard queries with stragglers and with a lost replica, for
+ * each hedge policy and for a naive router that sends each sub-request to a
+ * random replica and waits. */
+
+#include "common-sched-sim.h"
+#include "measure.h"
+
+#define SEED UINT64_C(30001)
+#define SHARDS 30
+#define QUERIES 10000
+#define GROUPS 10
+#define REPLICAS 3
+#define DEADLINE_NS (500 * HR_NS_PER_MS)
+#define SERVICE_NS (4 * HR_NS_PER_MS)
+#define LOAD 0.3
+#define STRAGGLER_SHARE 0.01
+#define STRAGGLER_FACTOR 20
+
+/* The servers of one user's pool. */
+typedef struct Shape {
+    const char *name;
+    uint32_t slots;
+    uint32_t connections;
+    int64_t connect_ns;
+    int64_t network_ns;
+} Shape;
+
+typedef enum Trouble {
+    TROUBLE_NONE,
+    TROUBLE_STRAGGLERS,
+    TROUBLE_LOST_REPLICA,
+} Trouble;
+
+typedef struct Policy {
+    const char *name;
+    bool is_naive;
+    HrHedge hedge;
+    uint32_t extra_load_percent;
+} Policy;
+
+/* What one run shows. */
+typedef struct Result {
+    double p50_ms;
+    double p99_ms;
+    double p999_ms;
+    double coverage_percent;
+    double extra_percent; /* attempts beyond one for each sub-request */
+} Result;
+
+static const Shape shapes[] = {
+    {"tasqyn", 5, 40, 6 * HR_NS_PER_MS, HR_NS_PER_MS / 2},
+    {"tsukushi", 2, 25, 6 * HR_NS_PER_MS, 3 * HR_NS_PER_MS / 2},
+};
+
+static const char *const troubles[] = {"calm", "stragglers", "lost-replica"};
+
+static const Policy policies[] = {
+    {"naive", true, HR_HEDGE_NONE, 0},
+    {"none", false, HR_HEDGE_NONE, 5},
+    {"fixed", false, HR_HEDGE_FIXED, 5},
+    {"quantile", false, HR_HEDGE_QUANTILE, 5},
+    {"tied", false, HR_HEDGE_TIED, 100},
+};
+
+/* The run in progress. */
+static struct {
+    const Policy *policy;
+    int64_t mean_gap_ns;
+    uint32_t queries_left;
+} run;
+
+/* Sends one query: 30 sub-requests, 3 to each group. */
+static void
+send_query(Sim *sim, uint32_t argument)
+{
+    HrSubRequest request = {.version = 1, .idempotent = true, .caller = "c"};
+    uint32_t shard;
+
+    (void)argument;
+    request.deadline_ns = sim->now_ns + DEADLINE_NS;
+    for (shard = 0; shard < SHARDS; shard++) {
+        uint32_t group = shard % GROUPS;
+        uint32_t sub =
+            sim_submit_at(sim, sim->now_ns,
+                          run.policy->is_naive ? UINT32_MAX : group, &request);
+
+        if (run.policy->is_naive) {
+            sim_send_direct(sim, sub,
+                            group * REPLICAS +
+                                (uint32_t)HrRng_Below(&sim->rng, REPLICAS));
+        }
+    }
+    if (--run.queries_left > 0) {
+        sim_call_at(
+            sim, sim->now_ns + HrRng_ExponentialNs(&sim->rng, run.mean_gap_ns),
+            send_query, 0);
+    }
+}
+
+/* Stops one replica of the first group. */
+static void
+lose_replica(Sim *sim, uint32_t argument)
+{
+    sim_crash(sim, argument);
+}
+
+/* Creates the servers and schedulers of a run. */
+static Sim *
+create_sim(const Shape *shape, const Policy *policy, Trouble trouble,
+           HrRng *rng)
+{
+    SimConfig config = {.seed = SEED,
+                        .scheds = GROUPS,
+                        .servers = GROUPS * REPLICAS,
+                        .slots = shape->slots,
+                        .connections = shape->connections,
+                        .server_queue = 10000,
+                        .network_ns = shape->network_ns,
+                        .connect_ns = shape->connect_ns,
+                        .service_ns = SERVICE_NS,
+                        .poll_ns = HR_NS_PER_S};
+    Sim *sim;
+    HrPool pool;
+    uint32_t i;
+
+    if (trouble == TROUBLE_STRAGGLERS) {
+        config.straggler_share = STRAGGLER_SHARE;
+        config.straggler_factor = STRAGGLER_FACTOR;
+    }
+    sim = sim_create(&config);
+    for (i = 0; i < GROUPS; i++) {
+        sim_fill_pool(sim, &pool, i * REPLICAS, REPLICAS);
+        pool.hedge = policy->hedge;
+        pool.hedge_delay_ms = 15;
+        pool.extra_load_percent = policy->extra_load_percent;
+        sim_add_sched(sim, i, &pool, rng);
+        sim_start_polls(sim, i, i * REPLICAS, REPLICAS);
+    }
+    return sim;
+}
+
+/* Fills the result from what became of the sub-requests. */
+static Result
+collect(const Sim *sim)
+{
+    int64_t *times = talloc_array(sim, int64_t, QUERIES);
+    uint64_t answered = 0;
+    Result result;
+    uint32_t query, shard;
+
+    for (query = 0; query < QUERIES; query++) {
+        times[query] = 0;
+        for (shard = 0; shard < SHARDS; shard++) {
+            const SimSub *sub = &sim->subs[query * SHARDS + shard];
+            bool is_answered = sub->answers > 0 &&
+                               sub->outcome == HR_OUTCOME_ANSWERED &&
+                               sub->answered_ns <= sub->request.deadline_ns;
+            int64_t took_ns = is_answered
+                                  ? sub->answered_ns - sub->submitted_ns
+                                  : DEADLINE_NS;
+
+            answered += is_answered ? 1 : 0;
+            times[query] = took_ns > times[query] ? took_ns : times[query];
+        }
+    }
+    qsort(times, QUERIES, sizeof(*times), measure_compare);
+    result.p50_ms = measure_quantile_ms(times, QUERIES, 0.5);
+    result.p99_ms = measure_quantile_ms(times, QUERIES, 0.99);
+    result.p999_ms = measure_quantile_ms(times, QUERIES, 0.999);
+    result.coverage_percent = 100.0 * (double)answered / (QUERIES * SHARDS);
+    result.extra_percent =
+        100.0 * ((double)sim->attempts / (QUERIES * SHARDS) - 1);
+    return result;
+}
+
+/* Runs one shape with one policy and one trouble. */
+static Result
+run_one(const Shape *shape, const Policy *policy, Trouble trouble)
+{
+    HrRng rng = HrRng_FromSeed(SEED + 1);
+    Sim *sim = create_sim(shape, policy, trouble, &rng);
+    double capacity =
+        (double)GROUPS * REPLICAS * shape->slots / (double)SERVICE_NS / SHARDS;
+    int64_t length_ns;
+    Result result;
+
+    run.policy = policy;
+    run.mean_gap_ns = (int64_t)(1 / (capacity * LOAD));
+    run.queries_left = QUERIES;
+    length_ns = run.mean_gap_ns * QUERIES;
+    sim_call_at(sim, sim->now_ns, send_query, 0);
+    if (trouble == TROUBLE_LOST_REPLICA) {
+        sim_call_at(sim, sim->now_ns + length_ns / 2, lose_replica, 0);
+    }
+    sim_run_until(sim, sim->now_ns + 2 * length_ns + 2 * DEADLINE_NS);
+    result = collect(sim);
+    talloc_free(sim);
+    return result;
+}
+
+/* Prints one value of a run next to its baseline. */
+static void
+print_value(const Shape *shape, const Policy *policy, Trouble trouble,
+            const char *what, const char *unit, double value, double baseline)
+{
+    char name[96];
+
+    snprintf(name, sizeof(name), "tail/%s/%s/%s/%s", shape->name,
+             troubles[trouble], policy->name, what);
+    measure_print(name, unit, value, baseline, SEED);
+}
+
+/* Runs all policies at one shape and trouble; the baseline is the same policy
+ * without trouble, and for the extra load its bound. */
+static void
+run_policies(const Shape *shape, Trouble trouble, Result *calm)
+{
+    uint32_t i;
+
+    for (i = 0; i < sizeof(policies) / sizeof(policies[0]); i++) {
+        const Policy *policy = &policies[i];
+        Result result = run_one(shape, policy, trouble);
+
+        if (trouble == TROUBLE_NONE) {
+            calm[i] = result;
+        }
+        print_value(shape, policy, trouble, "p50", "ms", result.p50_ms,
+                    calm[i].p50_ms);
+        print_value(shape, policy, trouble, "p99", "ms", result.p99_ms,
+                    calm[i].p99_ms);
+        print_value(shape, policy, trouble, "p99.9", "ms", result.p999_ms,
+                    calm[i].p999_ms);
+        print_value(shape, policy, trouble, "coverage", "percent",
+                    result.coverage_percent, 100);
+        print_value(shape, policy, trouble, "extra-load", "percent",
+                    result.extra_percent, 5);
+    }
+}
+
+int
+main(void)
+{
+    Result calm[sizeof(policies) / sizeof(policies[0])];
+    uint32_t i;
+
+    for (i = 0; i < sizeof(shapes) / sizeof(shapes[0]); i++) {
+        run_policies(&shapes[i], TROUBLE_NONE, calm);
+        run_policies(&shapes[i], TROUBLE_STRAGGLERS, calm);
+        run_policies(&shapes[i], TROUBLE_LOST_REPLICA, calm);
+    }
+    return 0;
+}
