--- a/tests/common-config-sim.h
+++ b/tests/common-config-sim.h
@@ -25,6 +25,8 @@
     bool restarts;
     bool partitions;
     bool rollbacks; /* the store becomes older or empty */
+    /* Otherwise there are two, with up to four daemons all of them readers. */
+    bool one_data_centre;
 } SimFaults;
 
 typedef struct SimDaemon {
