--- a/src/coord-config-store.c
+++ b/src/coord-config-store.c
@@ -1,12 +1,12 @@
 #include <talloc.h>
 
-#include <string.h>
-
 #include "coord-config-internal.h"
+#include "coord-owner.h"
 #include "state-tables-json.h"
 
 /* A store that answers watches at once must not be called in a tight loop. */
 #define CALL_SPACING_NS (100 * HR_NS_PER_MS)
+#define READERS_MAX 8
 
 /* Prepares the first call. */
 void
@@ -18,47 +18,33 @@
     config->store.reader = true;
 }
 
-/* Returns the rendezvous rank of a daemon as a reader of the store. */
-static uint64_t
-rank_reader(uint64_t daemon_id)
-{
-    return HrHash_Bytes(&daemon_id, sizeof(daemon_id),
-                        HrHash_String("store-reader", 0));
-}
-
-/* Returns the member entry of this daemon, or NULL. */
-static const HrMember *
-find_self(const HrConfig *config, const HrMemberView *view)
+/* Returns true if this daemon is one of the store readers of its data centre,
+ * or is not in the view. */
+static bool
+is_chosen_reader(const HrConfig *config, const HrMemberView *view)
 {
-    uint32_t i;
-
-    for (i = 0; i < view->member_count; i++) {
-        if (view->members[i].daemon_id == config->settings.self_id) {
-            return &view->members[i];
+    uint64_t ids[READERS_MAX];
+    const HrMember *self = HrMemberView_Find(view, config->settings.self_id);
+    uint32_t limit = config->settings.readers_per_data_centre, count, i;
+
+    if (self == NULL) {
+        return true;
+    }
+    count = HrOwner_StoreReaders(view, self->data_centre, ids,
+                                 limit < READERS_MAX ? limit : READERS_MAX);
+    for (i = 0; i < count; i++) {
+        if (ids[i] == config->settings.self_id) {
+            return true;
         }
     }
-    return NULL;
+    return false;
 }
 
-/* Decides whether this daemon is one of the store readers of its data
- * centre: few other members there have a higher rank. */
+/* Decides whether this daemon reads the store. */
 void
 HrConfigStore_SetMembers(HrConfig *config, const HrMemberView *view)
 {
-    const HrMember *self = find_self(config, view);
-    uint64_t own_rank = rank_reader(config->settings.self_id);
-    uint32_t ahead = 0, i;
-
-    for (i = 0; self != NULL && i < view->member_count; i++) {
-        const HrMember *member = &view->members[i];
-
-        if (member != self && member->state == HR_MEMBER_ALIVE &&
-            strcmp(member->data_centre, self->data_centre) == 0 &&
-            rank_reader(member->daemon_id) > own_rank) {
-            ahead++;
-        }
-    }
-    config->store.reader = ahead < config->settings.readers_per_data_centre;
+    config->store.reader = is_chosen_reader(config, view);
     if (!config->store.reader && config->alarm != HR_CONFIG_ALARM_FORK) {
         /* Other daemons watch the store now; a raised alarm would stay. */
         HrConfig_SetAlarm(config, HR_CONFIG_ALARM_NONE,
--- a/src/state-tables-fields.c
+++ b/src/state-tables-fields.c
@@ -1,12 +1,10 @@
 #include "state-tables-fields.h"
 
-#include <arpa/inet.h>
 #include <jansson.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "base-rng.h"
+#include "state-address.h"
 #include "state-tables.h"
 
 #define NAME_MAX_BYTES 63
@@ -174,32 +172,16 @@
     return true;
 }
 
-/* Returns true for "IPv4:port" and "[IPv6]:port". */
+/* Returns true for "IPv4:port" and "[IPv6]:port" with a port that a server
+ * can listen on. */
 static bool
 is_address(const char *text)
 {
     const char *colon = strrchr(text, ':');
-    char host[64];
-    struct in6_addr parsed;
-    char *end;
-    long port;
-    size_t length;
+    HrSockAddress address;
 
-    if (colon == NULL || colon[1] < '1' || colon[1] > '9') {
-        return false;
-    }
-    port = strtol(colon + 1, &end, 10);
-    length = (size_t)(colon - text);
-    if (*end != '\0' || port > 65535 || length >= sizeof(host)) {
-        return false;
-    }
-    memcpy(host, text, length);
-    host[length] = '\0';
-    if (host[0] == '[' && host[length - 1] == ']') {
-        host[length - 1] = '\0';
-        return inet_pton(AF_INET6, host + 1, &parsed) == 1;
-    }
-    return inet_pton(AF_INET, host, &parsed) == 1;
+    return colon != NULL && colon[1] >= '1' && colon[1] <= '9' &&
+           HrSockAddress_Parse(text, &address) == HR_OK;
 }
 
 /* Returns true for UTF-8 without control characters. */
