--- /dev/null
+++ b/src/ctl-client.h
@@ -0,0 +1,45 @@
+#ifndef HR_CTL_CLIENT_H
+#define HR_CTL_CLIENT_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base-error.h"
+#include "ctl-options.h"
+
+/* Requests to daemons. */
+
+/* What one daemon has answered. */
+typedef struct CtlReply {
+    const char *address;
+    bool maybe_sent;  /* the daemon may have taken the request */
+    int status;       /* HTTP status; 0 without an answer */
+    json_t *json;     /* the answer; NULL unless it is a JSON object */
+    const char *text; /* the answer as text; "" when there is none */
+    size_t text_bytes;
+    HrError error; /* HR_OK, or why the answer is of no use */
+} CtlReply;
+
+/* Sends one request to each address at the same time and waits for the
+ * answers. body may be NULL. Replies are a talloc array of count elements that
+ * belongs to parent and frees the JSON. */
+CtlReply *CtlClient_Ask(const void *parent, const CtlOptions *options,
+                        const char *method, const char *path, const char *body,
+                        const char *const *addresses, uint32_t count);
+
+/* Asks the named daemons in turn until one answers. Returns its reply, or the
+ * last one. Prints an error and returns NULL when no daemon is named. */
+CtlReply *CtlClient_AskFirst(const void *parent, const CtlOptions *options,
+                             const char *method, const char *path,
+                             const char *body);
+
+/* Lists whom a command asks: the named daemons, or with all every member that
+ * is not dead. Returns NULL when an error was printed. */
+const char **CtlClient_Targets(const void *parent, const CtlOptions *options,
+                               bool all, uint32_t *count);
+
+/* Returns text percent-encoded for a query string. */
+char *CtlClient_Escape(const void *parent, const char *text);
+
+#endif
--- /dev/null
+++ b/src/ctl-rows.c
@@ -0,0 +1,350 @@
+#include "ctl-rows.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "ctl-print.h"
+#include "ctl-tables.h"
+#include "state-tables-json.h"
+
+/* What the commands of both tables share. */
+typedef struct RowsCommand {
+    const CtlOptions *options;
+    HrTableKind table;
+    const char *name;  /* "routes" or "pools" */
+    const char *row;   /* "route" or "pool" */
+    HrTables *current; /* as the daemon holds them */
+    const char **operands;
+    uint32_t operand_count;
+} RowsCommand;
+
+/* Returns the summary of an edit: the command and the rows. */
+static char *
+make_summary(const RowsCommand *command, const char *verb)
+{
+    char *text =
+        talloc_asprintf(command->current, "%s %s", verb, command->row);
+
+    if (command->operand_count > 0) {
+        text = talloc_asprintf_append_buffer(text, " %.60s",
+                                             command->operands[0]);
+    }
+    return text;
+}
+
+/* Prints servers as one number, so that a table of pools stays readable. */
+static void
+shorten_servers(json_t *rows)
+{
+    size_t i;
+
+    for (i = 0; i < json_array_size(rows); i++) {
+        json_t *row = json_array_get(rows, i);
+        json_t *servers = json_object_get(row, "servers");
+
+        if (servers != NULL) {
+            json_object_set_new(
+                row, "servers",
+                json_integer((json_int_t)json_array_size(servers)));
+        }
+    }
+}
+
+/* Returns the array of rows, of one name if it is given. */
+static json_t *
+select_rows(const RowsCommand *command, const char *name)
+{
+    json_t *map = CtlRows_ToMap(command->current, command->table);
+    json_t *rows = json_array();
+    const char *key;
+    json_t *value;
+
+    json_object_foreach(map, key, value)
+    {
+        if (name == NULL || strcmp(key, name) == 0) {
+            json_array_append(rows, value);
+        }
+    }
+    json_decref(map);
+    return rows;
+}
+
+/* Prints that a row does not exist. */
+static int
+report_missing(const RowsCommand *command, const char *name)
+{
+    Ctl_Error("there is no %s \"%s\"; look at \"hickoryctl %s get\"",
+              command->row, name, command->name);
+    return CTL_EXIT_FAILED;
+}
+
+/* get [NAME] */
+static int
+run_get(RowsCommand *command)
+{
+    const char *name =
+        command->operand_count > 0 ? command->operands[0] : NULL;
+    json_t *rows = select_rows(command, name), *object;
+
+    if (name != NULL && json_array_size(rows) == 0) {
+        json_decref(rows);
+        return report_missing(command, name);
+    }
+    if (command->options->json) {
+        object = json_pack("{s:I,s:O}", "revision",
+                           (json_int_t)command->current->revision,
+                           command->name, rows);
+        CtlPrint_Json(stdout, object);
+        json_decref(object);
+    }
+    else if (name != NULL) {
+        CtlPrint_Object(stdout, json_array_get(rows, 0));
+    }
+    else {
+        printf("revision %" PRIu64 "\n", command->current->revision);
+        shorten_servers(rows);
+        CtlPrint_Table(stdout, rows);
+    }
+    json_decref(rows);
+    return CTL_EXIT_DONE;
+}
+
+/* history */
+static int
+run_history(RowsCommand *command)
+{
+    json_t *edits = json_array();
+    uint32_t i;
+
+    for (i = 0; i < command->current->edit_count; i++) {
+        json_array_append_new(
+            edits, HrEditRecord_ToJson(&command->current->edits[i]));
+    }
+    if (command->options->json) {
+        CtlPrint_Json(stdout, edits);
+    }
+    else {
+        CtlPrint_Table(stdout, edits);
+    }
+    json_decref(edits);
+    return CTL_EXIT_DONE;
+}
+
+/* Sends an edit with one field. */
+static int
+submit(const RowsCommand *command, const char *verb, const char *field,
+       json_t *value)
+{
+    json_t *body = CtlEdit_Start(command->options, command->current->revision,
+                                 make_summary(command, verb));
+    char name[32];
+
+    if (body == NULL) {
+        json_decref(value);
+        return CTL_EXIT_USAGE;
+    }
+    snprintf(name, sizeof(name), "%s_%s", field, command->name);
+    json_object_set_new(body, name, value);
+    return CtlEdit_Submit(command->options, body);
+}
+
+/* Returns the row to change, or a new one of that name. */
+static json_t *
+start_row(const RowsCommand *command, const char *name)
+{
+    json_t *rows = select_rows(command, name);
+    json_t *row = json_incref(json_array_get(rows, 0));
+
+    json_decref(rows);
+    if (row != NULL) {
+        return row;
+    }
+    row = json_pack("{s:s}", "name", name);
+    if (command->table == HR_TABLE_POOLS) {
+        json_object_set_new(row, "servers", json_array());
+    }
+    return row;
+}
+
+/* set NAME FIELD=VALUE... */
+static int
+run_set(RowsCommand *command)
+{
+    json_t *row;
+    uint32_t i;
+
+    if (command->operand_count < 2) {
+        Ctl_Error("%s set: use NAME and at least one FIELD=VALUE",
+                  command->name);
+        return CTL_EXIT_USAGE;
+    }
+    row = start_row(command, command->operands[0]);
+    for (i = 1; i < command->operand_count; i++) {
+        if (!CtlAssign_Apply(row, command->table, command->operands[i])) {
+            json_decref(row);
+            return CTL_EXIT_USAGE;
+        }
+    }
+    return submit(command, "set", "set", json_pack("[o]", row));
+}
+
+/* delete NAME... */
+static int
+run_delete(RowsCommand *command)
+{
+    json_t *names = json_array();
+    uint32_t i;
+
+    if (command->operand_count == 0) {
+        json_decref(names);
+        Ctl_Error("%s delete: use at least one NAME", command->name);
+        return CTL_EXIT_USAGE;
+    }
+    for (i = 0; i < command->operand_count; i++) {
+        json_array_append_new(names, json_string(command->operands[i]));
+    }
+    return submit(command, "delete", "delete", names);
+}
+
+/* Adds to an edit what turns the rows of one table into those of the file. */
+static bool
+add_table_changes(json_t *body, const HrTables *current, const HrTables *file,
+                  HrTableKind table)
+{
+    json_t *old_rows = CtlRows_ToMap(current, table);
+    json_t *new_rows = CtlRows_ToMap(file, table);
+    json_t *set = json_array(), *removed = json_array();
+    const char *key;
+    json_t *value;
+    bool changed;
+
+    json_object_foreach(new_rows, key, value)
+    {
+        if (!json_equal(value, json_object_get(old_rows, key))) {
+            json_array_append(set, value);
+        }
+    }
+    json_object_foreach(old_rows, key, value)
+    {
+        if (json_object_get(new_rows, key) == NULL) {
+            json_array_append_new(removed, json_string(key));
+        }
+    }
+    changed = json_array_size(set) + json_array_size(removed) > 0;
+    json_object_set_new(
+        body, table == HR_TABLE_ROUTES ? "set_routes" : "set_pools", set);
+    json_object_set_new(
+        body, table == HR_TABLE_ROUTES ? "delete_routes" : "delete_pools",
+        removed);
+    json_decref(old_rows);
+    json_decref(new_rows);
+    return changed;
+}
+
+/* Reads the file that a command names. */
+static HrTables *
+read_operand(RowsCommand *command, uint64_t *revision)
+{
+    if (command->operand_count != 1) {
+        Ctl_Error("%s: use one FILE, or - for standard input", command->name);
+        return NULL;
+    }
+    return CtlTables_ReadFile(command->current, command->operands[0],
+                              command->current, revision);
+}
+
+/* apply FILE: one edit that makes the tables of the file, both if it holds
+ * both. */
+static int
+run_apply(RowsCommand *command)
+{
+    uint64_t revision = 0;
+    HrTables *file = read_operand(command, &revision);
+    json_t *body;
+    bool changed;
+
+    if (file == NULL) {
+        return CTL_EXIT_USAGE;
+    }
+    body = CtlEdit_Start(command->options, revision,
+                         make_summary(command, "apply"));
+    if (body == NULL) {
+        return CTL_EXIT_USAGE;
+    }
+    changed = add_table_changes(body, command->current, file, HR_TABLE_ROUTES);
+    changed =
+        add_table_changes(body, command->current, file, HR_TABLE_POOLS) ||
+        changed;
+    if (!changed) {
+        json_decref(body);
+        printf("the tables are already as in the file\n");
+        return CTL_EXIT_DONE;
+    }
+    return CtlEdit_Submit(command->options, body);
+}
+
+/* diff FILE */
+static int
+run_diff(RowsCommand *command)
+{
+    uint64_t revision = 0;
+    HrTables *file = read_operand(command, &revision);
+    json_t *old_rows, *new_rows;
+    uint32_t count;
+
+    if (file == NULL) {
+        return CTL_EXIT_USAGE;
+    }
+    old_rows = CtlRows_ToMap(command->current, command->table);
+    new_rows = CtlRows_ToMap(file, command->table);
+    count = CtlDiff_Print(old_rows, new_rows, command->row,
+                          command->options->json);
+    json_decref(old_rows);
+    json_decref(new_rows);
+    return count == 0 ? CTL_EXIT_DONE : CTL_EXIT_DIFFERENT;
+}
+
+/* The verbs of both tables. */
+static const struct {
+    const char *name;
+    int (*run)(RowsCommand *command);
+} verbs[] = {
+    {"get", run_get},     {"set", run_set},   {"delete", run_delete},
+    {"apply", run_apply}, {"diff", run_diff}, {"history", run_history},
+};
+
+/* Runs "routes ..." or "pools ..."; returns the exit status. */
+int
+CtlRows_Run(const CtlOptions *options, HrTableKind table)
+{
+    RowsCommand command = {
+        .options = options,
+        .table = table,
+        .name = table == HR_TABLE_ROUTES ? "routes" : "pools",
+        .row = table == HR_TABLE_ROUTES ? "route" : "pool",
+        .operands = options->words + 2,
+        .operand_count = options->word_count - 2,
+    };
+    int status;
+    size_t i;
+
+    for (i = 0;
+         options->word_count >= 2 && i < sizeof(verbs) / sizeof(verbs[0]);
+         i++) {
+        if (strcmp(verbs[i].name, options->words[1]) != 0) {
+            continue;
+        }
+        command.current = CtlTables_Fetch(NULL, options);
+        if (command.current == NULL) {
+            return CTL_EXIT_FAILED;
+        }
+        status = verbs[i].run(&command);
+        talloc_free(command.current);
+        return status;
+    }
+    Ctl_Error("%s: use get, set, delete, apply, diff or history",
+              command.name);
+    return CTL_EXIT_USAGE;
+}
--- /dev/null
+++ b/src/ctl-wait.c
@@ -0,0 +1,151 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+#include <time.h>
+
+#include "base-clock.h"
+#include "ctl-client.h"
+#include "ctl-print.h"
+#include "ctl-tables.h"
+
+#define POLL_NS (200 * HR_NS_PER_MS)
+/* A daemon that does not answer must not use up the whole time. */
+#define POLL_TIMEOUT_MS 2000
+
+/* One daemon that is waited for. */
+typedef struct WaitTarget {
+    const char *address;
+    bool in_force;
+    bool answered;
+    uint64_t revision;
+} WaitTarget;
+
+/* Asks the daemons that do not have the revision yet; returns how many still
+ * lack it. */
+static uint32_t
+poll_targets(const CtlOptions *options, WaitTarget *targets, uint32_t count,
+             uint64_t revision)
+{
+    void *memory = talloc_new(NULL);
+    const char **addresses = talloc_array(memory, const char *, count);
+    uint32_t *indexes = talloc_array(memory, uint32_t, count);
+    uint32_t open = 0, missing = 0, i;
+    CtlReply *replies;
+
+    for (i = 0; i < count; i++) {
+        if (!targets[i].in_force) {
+            addresses[open] = targets[i].address;
+            indexes[open++] = i;
+        }
+    }
+    replies = CtlClient_Ask(memory, options, "GET", "/v1/config", NULL,
+                            addresses, open);
+    for (i = 0; i < open; i++) {
+        WaitTarget *target = &targets[indexes[i]];
+        json_t *held = json_object_get(replies[i].json, "revision");
+
+        target->answered = replies[i].error.kind == HR_OK;
+        target->revision = (uint64_t)json_integer_value(held);
+        target->in_force = target->answered && target->revision >= revision;
+        missing += target->in_force ? 0 : 1;
+    }
+    talloc_free(memory);
+    return missing;
+}
+
+/* Prints on how many daemons the revision is in force, and names the others.
+ */
+static void
+print_text(const WaitTarget *targets, uint32_t count, uint32_t missing,
+           uint64_t revision)
+{
+    uint32_t i;
+
+    printf("revision %" PRIu64 " in force on %u of %u daemons\n", revision,
+           count - missing, count);
+    for (i = 0; i < count; i++) {
+        if (targets[i].in_force) {
+            continue;
+        }
+        if (targets[i].answered) {
+            printf("missing: %s, which holds revision %" PRIu64 "\n",
+                   targets[i].address, targets[i].revision);
+        }
+        else {
+            printf("missing: %s, which does not answer\n", targets[i].address);
+        }
+    }
+}
+
+/* Prints the same as JSON. */
+static void
+print_json(const WaitTarget *targets, uint32_t count, uint32_t missing,
+           uint64_t revision)
+{
+    json_t *names = json_array();
+    json_t *object;
+    uint32_t i;
+
+    for (i = 0; i < count; i++) {
+        if (!targets[i].in_force) {
+            json_array_append_new(names, json_string(targets[i].address));
+        }
+    }
+    object = json_pack("{s:I,s:i,s:i,s:o}", "revision", (json_int_t)revision,
+                       "in_force", (int)(count - missing), "daemons",
+                       (int)count, "missing", names);
+    CtlPrint_Json(stdout, object);
+    json_decref(object);
+}
+
+/* Polls until the revision is in force everywhere or the time is over. */
+static uint32_t
+wait_for_targets(const CtlOptions *options, WaitTarget *targets,
+                 uint32_t count, uint64_t revision)
+{
+    HrClock clock = HrClock_System();
+    int64_t end_ns =
+        HrClock_NowNs(&clock) + (int64_t)options->timeout_ms * HR_NS_PER_MS;
+    struct timespec pause = HrTime_FromNs(POLL_NS);
+    CtlOptions poll = *options;
+    uint32_t missing;
+
+    poll.timeout_ms = POLL_TIMEOUT_MS;
+    for (;;) {
+        missing = poll_targets(&poll, targets, count, revision);
+        if (missing == 0 || HrClock_NowNs(&clock) + POLL_NS >= end_ns) {
+            return missing;
+        }
+        nanosleep(&pause, NULL);
+    }
+}
+
+/* Waits until a revision is in force on every member and prints on how many
+ * it is. Returns the exit status. */
+int
+CtlWait_Run(const CtlOptions *options, uint64_t revision)
+{
+    void *memory = talloc_new(NULL);
+    uint32_t count = 0, missing, i;
+    const char **addresses = CtlClient_Targets(memory, options, true, &count);
+    WaitTarget *targets;
+
+    if (addresses == NULL) {
+        talloc_free(memory);
+        return CTL_EXIT_WAITING;
+    }
+    targets = talloc_zero_array(memory, WaitTarget, count);
+    for (i = 0; i < count; i++) {
+        targets[i].address = addresses[i];
+    }
+    missing = wait_for_targets(options, targets, count, revision);
+    if (options->json) {
+        print_json(targets, count, missing, revision);
+    }
+    else {
+        print_text(targets, count, missing, revision);
+    }
+    talloc_free(memory);
+    return missing == 0 ? CTL_EXIT_DONE : CTL_EXIT_WAITING;
+}
