--- /dev/null
+++ b/tests/common-operator.c
@@ -0,0 +1,289 @@
+#include "common-operator.h"
+
+#include <fcntl.h>
+#include <jansson.h>
+#include <libgen.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "state-tables-edit.h"
+#include "state-tables-json.h"
+
+extern char **environ;
+
+/* Answers with a text. */
+static void
+answer_text(FakeDaemon *daemon, uint64_t number, int status, const char *text)
+{
+    HrBytes body = {(const uint8_t *)text, strlen(text)};
+
+    HrHttpServer_Answer(daemon->server, number, status, "application/json",
+                        body);
+}
+
+/* Answers with a JSON object, which is freed. */
+static void
+answer_json(FakeDaemon *daemon, uint64_t number, int status, json_t *object)
+{
+    char *text = json_dumps(object, JSON_COMPACT);
+
+    answer_text(daemon, number, status, text);
+    json_decref(object);
+    free(text);
+}
+
+/* Answers a read of the tables. */
+static void
+answer_tables(FakeDaemon *daemon, uint64_t number)
+{
+    if (daemon->tables == NULL) {
+        answer_text(daemon, number, 200,
+                    "{\"revision\":0,\"routes\":[],\"pools\":[]}");
+        return;
+    }
+    answer_json(daemon, number, 200,
+                HrTables_ToJson(daemon->tables, HR_TABLES_FORM_OPERATOR));
+}
+
+/* Makes an edit; returns the answer. */
+static json_t *
+make_edit(FakeDaemon *daemon, const HrTablesEdit *edit)
+{
+    const HrEditRecord *made =
+        daemon->tables == NULL
+            ? NULL
+            : HrTables_FindEdit(daemon->tables, edit->edit_id);
+    HrError err = {0};
+    HrTables *next;
+
+    if (made != NULL) {
+        return json_pack("{s:s,s:I,s:b}", "result", "accepted", "revision",
+                         (json_int_t)made->revision, "already_made", 1);
+    }
+    next =
+        HrTablesEdit_Apply(daemon, daemon->tables, edit, 1700000000000, &err);
+    if (next == NULL) {
+        return json_pack("{s:s,s:s}", "result", "refused", "error",
+                         err.message);
+    }
+    daemon->tables = next;
+    daemon->edits++;
+    return json_pack("{s:s,s:I}", "result", "accepted", "revision",
+                     (json_int_t)next->revision);
+}
+
+/* Answers an edit. */
+static void
+answer_edit(FakeDaemon *daemon, uint64_t number, HrBytes body)
+{
+    HrError err = {0};
+    HrTablesEdit *edit;
+    json_t *reply;
+
+    if (daemon->edit != NULL) {
+        answer_text(daemon, number, daemon->edit_status, daemon->edit);
+        return;
+    }
+    edit = HrTablesEdit_FromJson(daemon, (const char *)body.data,
+                                 body.length_bytes, "request", &err);
+    if (edit == NULL) {
+        answer_json(daemon, number, 400,
+                    json_pack("{s:s}", "error", err.message));
+        return;
+    }
+    reply = make_edit(daemon, edit);
+    if (daemon->lose_edit_reply) {
+        daemon->lose_edit_reply = false;
+        json_decref(reply);
+        answer_text(daemon, number, 503, "{\"error\":\"overloaded\"}");
+        return;
+    }
+    answer_json(daemon, number, 200, reply);
+}
+
+/* Answers which revision is in force. */
+static void
+answer_config(FakeDaemon *daemon, uint64_t number)
+{
+    if (daemon->lag_polls > 0) {
+        daemon->lag_polls--;
+    }
+    else if (daemon->tables != NULL) {
+        daemon->in_force = daemon->tables->revision;
+    }
+    answer_json(daemon, number, 200,
+                json_pack("{s:I}", "revision", (json_int_t)daemon->in_force));
+}
+
+/* Returns true if the request carries the token. */
+static bool
+has_token(HrHttpExchange *exchange)
+{
+    const char *value = HrHttpExchange_Header(exchange, "Authorization");
+
+    return value != NULL && strcmp(value, "Bearer " FAKE_TOKEN) == 0;
+}
+
+/* Answers a request. */
+static void
+handle_request(void *arg, HrHttpExchange *exchange)
+{
+    FakeDaemon *daemon = arg;
+    uint64_t number = HrHttpExchange_Number(exchange);
+    const char *path = HrHttpExchange_Path(exchange);
+    HrBytes body = HrHttpExchange_Body(exchange);
+    bool post = strcmp(HrHttpExchange_Method(exchange), "POST") == 0;
+
+    daemon->last_path = talloc_strdup(daemon, path);
+    daemon->last_body =
+        talloc_strndup(daemon, (const char *)body.data, body.length_bytes);
+    if (strcmp(path, "/v1/query") == 0) {
+        answer_text(daemon, number, 200, daemon->report);
+    }
+    else if (!has_token(exchange)) {
+        answer_text(daemon, number, 401, "{\"error\":\"token\"}");
+    }
+    else if (strcmp(path, "/v1/tables") == 0 && post) {
+        answer_edit(daemon, number, body);
+    }
+    else if (strcmp(path, "/v1/tables/restore") == 0) {
+        answer_text(daemon, number, daemon->edit_status, daemon->edit);
+    }
+    else if (strcmp(path, "/v1/tables") == 0) {
+        answer_tables(daemon, number);
+    }
+    else if (strcmp(path, "/v1/members") == 0 && daemon->members != NULL) {
+        answer_text(daemon, number, 200, daemon->members);
+    }
+    else if (strcmp(path, "/v1/config") == 0) {
+        answer_config(daemon, number);
+    }
+    else if (strcmp(path, "/v1/burn") == 0) {
+        answer_text(daemon, number, 200, daemon->burn);
+    }
+    else {
+        answer_text(daemon, number, 200, daemon->report);
+    }
+}
+
+/* Starts a daemon whose listener runs on the loop. */
+FakeDaemon *
+FakeDaemon_Start(const void *parent, HrLoop *loop)
+{
+    FakeDaemon *daemon = talloc_zero(parent, FakeDaemon);
+    HrHttpServerConfig config = {.listen = "127.0.0.1:0",
+                                 .max_connections = 64,
+                                 .max_header_bytes = 16384,
+                                 .max_body_bytes = 4 << 20,
+                                 .request_timeout_ms = 10000};
+    HrError err = {0};
+
+    daemon->server = HrHttpServer_Create(daemon, loop, &config, handle_request,
+                                         daemon, &err);
+    if (daemon->server == NULL) {
+        fprintf(stderr, "%s\n", err.message);
+        abort();
+    }
+    snprintf(daemon->address, sizeof(daemon->address), "127.0.0.1:%u",
+             HrHttpServer_Port(daemon->server));
+    daemon->report = "{}";
+    return daemon;
+}
+
+/* The output of a child process. */
+typedef struct Output {
+    HrLoop *loop;
+    HrLoopFd *watch;
+    char *text;
+    bool open;
+} Output;
+
+/* Reads what the child has written. */
+static void
+read_output(void *arg, int fd, uint32_t events)
+{
+    Output *output = arg;
+    char buffer[4096];
+    ssize_t length = read(fd, buffer, sizeof(buffer) - 1);
+
+    (void)events;
+    if (length <= 0) {
+        HrLoop_RemoveFd(output->loop, output->watch);
+        close(fd);
+        output->open = false;
+        return;
+    }
+    buffer[length] = '\0';
+    output->text = talloc_strdup_append_buffer(output->text, buffer);
+}
+
+/* Prepares to read one output; the child's end is returned. */
+static int
+open_output(const void *parent, HrLoop *loop, Output *output)
+{
+    int fds[2];
+
+    if (pipe2(fds, O_CLOEXEC) != 0) {
+        abort();
+    }
+    output->loop = loop;
+    output->open = true;
+    output->text = talloc_strdup(parent, "");
+    output->watch =
+        HrLoop_AddFd(loop, fds[0], HR_LOOP_READ, read_output, output);
+    return fds[1];
+}
+
+/* Returns the path of hickoryctl, which is built next to the tests. */
+static char *
+find_program(const void *parent)
+{
+    char path[4096] = "";
+
+    if (readlink("/proc/self/exe", path, sizeof(path) - 1) < 0) {
+        abort();
+    }
+    return talloc_asprintf(parent, "%s/hickoryctl", dirname(path));
+}
+
+/* Runs hickoryctl with arguments, the last of which is NULL, and serves the
+ * loop until it has ended. */
+CtlRun
+Ctl_Run(const void *parent, HrLoop *loop, const char *const *arguments)
+{
+    char *program = find_program(parent);
+    char *argv[64] = {program};
+    posix_spawn_file_actions_t actions;
+    Output out, err;
+    CtlRun run = {0};
+    int out_fd = open_output(parent, loop, &out);
+    int err_fd = open_output(parent, loop, &err);
+    int i, wait_status;
+    pid_t pid;
+
+    for (i = 0; arguments[i] != NULL && i < 62; i++) {
+        argv[i + 1] = (char *)arguments[i];
+    }
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, out_fd, STDOUT_FILENO);
+    posix_spawn_file_actions_adddup2(&actions, err_fd, STDERR_FILENO);
+    if (posix_spawn(&pid, program, &actions, NULL, argv, environ) != 0) {
+        abort();
+    }
+    posix_spawn_file_actions_destroy(&actions);
+    close(out_fd);
+    close(err_fd);
+    while (out.open || err.open) {
+        HrLoop_RunOnce(loop, HR_NS_PER_S);
+    }
+    waitpid(pid, &wait_status, 0);
+    run.status = WIFEXITED(wait_status) ? WEXITSTATUS(wait_status) : -1;
+    run.out = out.text;
+    run.err = err.text;
+    return run;
+}
--- /dev/null
+++ b/tests/test-ctl.c
@@ -0,0 +1,575 @@
+#include <jansson.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base-clock.h"
+#include "common-operator.h"
+#include "proto-burn.h"
+
+/* Exit statuses as documented in hickoryctl(1). */
+enum {
+    DONE = 0,
+    FAILED = 1,
+    USAGE = 2,
+    CONFLICT = 3,
+    UNKNOWN = 4,
+    WAITING = 5,
+    BURN = 6,
+    UNREACHABLE = 7,
+    DIFFERENT = 8,
+};
+
+/* Two daemons, and a token file. */
+typedef struct Fixture {
+    HrClock clock;
+    HrLoop *loop;
+    FakeDaemon *first;
+    FakeDaemon *second;
+    char token_file[64];
+    char file[64];
+} Fixture;
+
+/* Writes a temporary file. */
+static void
+write_file(char *path, const char *text)
+{
+    int fd;
+
+    strcpy(path, "/tmp/test-ctl-XXXXXX");
+    fd = mkstemp(path);
+    assert_true(fd >= 0);
+    assert_int_equal(write(fd, text, strlen(text)), strlen(text));
+    close(fd);
+}
+
+/* Starts the daemons. */
+static int
+set_up(void **state)
+{
+    Fixture *fixture = talloc_zero(NULL, Fixture);
+
+    fixture->clock = HrClock_System();
+    fixture->loop = HrLoop_Create(fixture, &fixture->clock);
+    fixture->first = FakeDaemon_Start(fixture->loop, fixture->loop);
+    fixture->second = FakeDaemon_Start(fixture->loop, fixture->loop);
+    fixture->first->members = talloc_asprintf(
+        fixture->first,
+        "{\"members\":[{\"daemon_id\":\"1\",\"state\":\"alive\","
+        "\"operator_address\":\"%s\"},{\"daemon_id\":\"2\",\"state\":"
+        "\"alive\",\"operator_address\":\"%s\"},{\"daemon_id\":\"3\","
+        "\"state\":\"dead\",\"operator_address\":\"127.0.0.1:1\"}]}",
+        fixture->first->address, fixture->second->address);
+    write_file(fixture->token_file, FAKE_TOKEN "\n");
+    unsetenv("HICKORY_DAEMON");
+    *state = fixture;
+    return 0;
+}
+
+/* Stops the daemons. */
+static int
+tear_down(void **state)
+{
+    Fixture *fixture = *state;
+
+    unlink(fixture->token_file);
+    if (fixture->file[0] != '\0') {
+        unlink(fixture->file);
+    }
+    talloc_free(fixture->first);
+    talloc_free(fixture->second);
+    talloc_free(fixture);
+    return 0;
+}
+
+/* Runs hickoryctl with the first daemon, the token and more arguments. No
+ * output may contain the token. */
+static CtlRun
+run(Fixture *fixture, const char *first, ...)
+{
+    const char *arguments[40] = {"--daemon",     fixture->first->address,
+                                 "--token-file", fixture->token_file,
+                                 "--operator",   "ann"};
+    const char *argument;
+    int count = 6;
+    va_list list;
+    CtlRun result;
+
+    va_start(list, first);
+    for (argument = first; argument != NULL && count < 39;
+         argument = va_arg(list, const char *)) {
+        arguments[count++] = argument;
+    }
+    va_end(list);
+    result = Ctl_Run(fixture, fixture->loop, arguments);
+    assert_null(strstr(result.out, FAKE_TOKEN));
+    assert_null(strstr(result.err, FAKE_TOKEN));
+    return result;
+}
+
+/* Asserts the exit status; prints the output when it differs. */
+static void
+assert_status(CtlRun result, int status)
+{
+    if (result.status != status) {
+        print_message("out: %s\nerr: %s\n", result.out, result.err);
+    }
+    assert_int_equal(result.status, status);
+}
+
+/* Asserts that a text contains a part. */
+static void
+assert_contains(const char *text, const char *part)
+{
+    if (strstr(text, part) == NULL) {
+        print_message("\"%s\" lacks \"%s\"\n", text, part);
+        fail();
+    }
+}
+
+/* Makes a pool and a route. */
+static void
+make_rows(Fixture *fixture)
+{
+    assert_status(run(fixture, "pools", "set", "desk", "slots=5",
+                      "connections=40", "server.s1=10.0.0.1:80,dc1,g1",
+                      "server.s2=10.0.0.2:80,dc2,g1", NULL),
+                  DONE);
+    assert_status(run(fixture, "routes", "set", "search", "kind=search.*",
+                      "pool=desk", "finish=enough", "enough_percent=80",
+                      "objective_latency_target=0.995", NULL),
+                  DONE);
+}
+
+/* Guards against fields that are lost or changed by set and get. */
+static void
+test_set_and_get(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    assert_int_equal(fixture->first->tables->revision, 2);
+    assert_int_equal(fixture->first->tables->routes[0].enough_percent, 80);
+    assert_int_equal(fixture->first->tables->pools[0].server_count, 2);
+    assert_string_equal(fixture->first->tables->edits[1].operator_name, "ann");
+    assert_status(run(fixture, "pools", "set", "desk",
+                      "server.s1.leaving=true", "server.s2=", NULL),
+                  DONE);
+    assert_int_equal(fixture->first->tables->pools[0].server_count, 1);
+    assert_true(fixture->first->tables->pools[0].servers[0].leaving);
+    result = run(fixture, "routes", "get", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "revision 3");
+    assert_contains(result.out, "search.*");
+    result = run(fixture, "pools", "get", "desk", NULL);
+    assert_contains(result.out, "10.0.0.1:80");
+    assert_status(run(fixture, "pools", "get", "disk", NULL), FAILED);
+    result = run(fixture, "routes", "history", NULL);
+    assert_contains(result.out, "set route search");
+}
+
+/* Guards against a deletion that is not made, and a dangling pool. */
+static void
+test_delete(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    result = run(fixture, "pools", "delete", "desk", NULL);
+    assert_status(result, FAILED);
+    assert_contains(result.err, "there is no pool \"desk\"");
+    assert_status(run(fixture, "routes", "delete", "search", NULL), DONE);
+    assert_status(run(fixture, "pools", "delete", "desk", NULL), DONE);
+    assert_int_equal(fixture->first->tables->pool_count, 0);
+}
+
+/* Guards against an export that does not apply, a diff that misses a change,
+ * and rows that stay although the file leaves them out. */
+static void
+test_export_diff_and_apply(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    result = run(fixture, "--json", "routes", "get", NULL);
+    write_file(fixture->file, result.out);
+    assert_status(run(fixture, "routes", "diff", fixture->file, NULL), DONE);
+    result = run(fixture, "routes", "apply", fixture->file, NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "already");
+    assert_int_equal(fixture->first->edits, 2);
+    unlink(fixture->file);
+    write_file(fixture->file,
+               "{\"routes\":[{\"name\":\"other\",\"kind\":\"x\","
+               "\"pool\":\"desk\"}]}");
+    result = run(fixture, "routes", "diff", fixture->file, NULL);
+    assert_status(result, DIFFERENT);
+    assert_contains(result.out, "- route search");
+    assert_contains(result.out, "+ route other");
+    assert_status(run(fixture, "routes", "apply", fixture->file, NULL), DONE);
+    assert_int_equal(fixture->first->tables->route_count, 1);
+    assert_string_equal(fixture->first->tables->routes[0].name, "other");
+}
+
+/* Guards against a malformed file that is sent, and a message without file,
+ * field, value and remedy. */
+static void
+test_malformed_file(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    write_file(fixture->file,
+               "{\"routes\":[{\"name\":\"other\",\"kind\":\"x\","
+               "\"pool\":\"desk\",\"priority\":9}]}");
+    result = run(fixture, "routes", "apply", fixture->file, NULL);
+    assert_status(result, USAGE);
+    assert_contains(result.err, fixture->file);
+    assert_contains(result.err, "\"priority\": value 9");
+    assert_contains(result.err, "use 0 to 7");
+    assert_int_equal(fixture->first->edits, 2);
+}
+
+/* Guards against malformed command lines that do something. */
+static void
+test_malformed_command_lines(void **state)
+{
+    static const char *const cases[][5] = {
+        {"routes", NULL},
+        {"routes", "fix", NULL},
+        {"routes", "set", "x", NULL},
+        {"routes", "set", "x", "priority", NULL},
+        {"routes", "set", "x", "color=red", NULL},
+        {"routes", "set", "search", "priority=high", NULL},
+        {"routes", "set", "search", "priority=8", NULL},
+        {"routes", "delete", NULL},
+        {"routes", "apply", NULL},
+        {"routes", "apply", "/nonexistent", NULL},
+        {"pools", "set", "desk", "server.s1=10.0.0.1:80", NULL},
+        {"pools", "set", "desk", "server.s9.leaving=true", NULL},
+        {"pools", "set", "desk", "server.s9=", NULL},
+        {"status", "extra", NULL},
+        {"frobnicate", NULL},
+        {"explain", NULL},
+        {"query", NULL},
+        {"status", "--based-on", "x", NULL},
+        {"status", "--timeout", "0", NULL},
+        {"status", "--caller", "host:1", NULL},
+        {"status", "--unknown", NULL},
+    };
+    Fixture *fixture = *state;
+    size_t i;
+
+    make_rows(fixture);
+    for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        CtlRun result = run(fixture, cases[i][0], cases[i][1], cases[i][2],
+                            cases[i][3], cases[i][4], NULL);
+
+        if (result.status != USAGE) {
+            print_message("case %zu\n", i);
+        }
+        assert_status(result, USAGE);
+        assert_true(result.err[0] != '\0');
+        assert_int_equal(fixture->first->edits, 2);
+    }
+}
+
+/* Guards against a refusal for lack of a token that is not explained. */
+static void
+test_token(void **state)
+{
+    Fixture *fixture = *state;
+    char wrong[64];
+    const char *arguments[] = {
+        "-d", fixture->first->address, "-t", wrong, "status", NULL};
+    CtlRun result;
+
+    write_file(wrong, "wrong-token-987654\n");
+    result = Ctl_Run(fixture, fixture->loop, arguments);
+    assert_status(result, FAILED);
+    assert_contains(result.err, "--token-file");
+    assert_null(strstr(result.err, "wrong-token-987654"));
+    unlink(wrong);
+    write_file(wrong, "two tokens\n");
+    result = Ctl_Run(fixture, fixture->loop, arguments);
+    assert_status(result, USAGE);
+    assert_null(strstr(result.err, "two tokens"));
+    unlink(wrong);
+    result = Ctl_Run(fixture, fixture->loop, arguments);
+    assert_status(result, USAGE);
+}
+
+/* Guards against an edit whose answer is lost and that is made twice, or
+ * reported as failed, when a second daemon is named. */
+static void
+test_lost_answer_is_unknown(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    fixture->first->lose_edit_reply = true;
+    result = run(fixture, "--edit-id", "my-edit", "routes", "set", "search",
+                 "priority=1", NULL);
+    assert_status(result, UNKNOWN);
+    assert_contains(result.err, "--edit-id my-edit");
+    result = run(fixture, "--edit-id", "my-edit", "--based-on", "2", "routes",
+                 "set", "search", "priority=1", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "earlier copy");
+    assert_int_equal(fixture->first->edits, 3);
+}
+
+/* Guards against a stopped daemon that prevents an edit although another one
+ * is named. */
+static void
+test_second_daemon_is_tried(void **state)
+{
+    Fixture *fixture = *state;
+    const char *arguments[] = {"-d",
+                               "127.0.0.1:1",
+                               "-d",
+                               fixture->first->address,
+                               "-t",
+                               fixture->token_file,
+                               "pools",
+                               "set",
+                               "desk",
+                               "slots=1",
+                               "connections=1",
+                               NULL};
+
+    assert_status(Ctl_Run(fixture, fixture->loop, arguments), DONE);
+    assert_int_equal(fixture->first->edits, 1);
+}
+
+/* Guards against outcomes that are not told apart. */
+static void
+test_outcomes(void **state)
+{
+    Fixture *fixture = *state;
+    FakeDaemon *daemon = fixture->first;
+    CtlRun result;
+
+    make_rows(fixture);
+    daemon->edit_status = 409;
+    daemon->edit = "{\"result\":\"conflict\",\"revision\":5,\"error\":\"rows "
+                   "changed\",\"changes\":[{\"edit_id\":\"e9\",\"revision\":5,"
+                   "\"operator\":\"ben\",\"time_ms\":1,\"summary\":\"x\"}]}";
+    result = run(fixture, "routes", "set", "search", "priority=1", NULL);
+    assert_status(result, CONFLICT);
+    assert_contains(result.err, "ben");
+    daemon->edit_status = 200;
+    daemon->edit = "{\"result\":\"refused\",\"error\":\"run hickoryctl "
+                   "restore\"}";
+    result = run(fixture, "routes", "set", "search", "priority=1", NULL);
+    assert_status(result, FAILED);
+    assert_contains(result.err, "hickoryctl restore");
+    daemon->edit = "{\"result\":\"unknown\",\"error\":\"no answer\"}";
+    result = run(fixture, "routes", "set", "search", "priority=1", NULL);
+    assert_status(result, UNKNOWN);
+    assert_contains(result.err, "--edit-id");
+    daemon->edit = "{\"result\":\"accepted\",\"revision\":1050}";
+    result = run(fixture, "restore", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "1050");
+    assert_string_equal(daemon->last_path, "/v1/tables/restore");
+}
+
+/* Guards against a wait that ends too early, or does not name who is
+ * missing. */
+static void
+test_wait(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    fixture->first->lag_polls = 2;
+    fixture->second->in_force = 3;
+    result =
+        run(fixture, "--wait", "routes", "set", "search", "priority=1", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "revision 3 in force on 2 of 2 daemons");
+    assert_int_equal(fixture->first->lag_polls, 0);
+    result = run(fixture, "--wait", "--timeout", "500", "routes", "set",
+                 "search", "priority=2", NULL);
+    assert_status(result, WAITING);
+    assert_contains(result.out, "revision 4 in force on 1 of 2 daemons");
+    assert_contains(result.out, fixture->second->address);
+    assert_contains(result.out, "holds revision 3");
+}
+
+/* Guards against reports that lose a daemon without saying so, and control
+ * characters that reach the terminal. */
+static void
+test_reports(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    fixture->first->report = "{\"state\":\"ready\\u001b[31m\",\"load\":{"
+                             "\"spare\":40},\"tasks\":[{\"name\":\"sched\","
+                             "\"depth\":3}]}";
+    fixture->second->report = "{\"state\":\"draining\"}";
+    result = run(fixture, "status", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "state: ready?[31m");
+    assert_contains(result.out, "load.spare: 40");
+    assert_contains(result.out, "sched  3");
+    result = run(fixture, "--all", "queues", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "draining");
+    result = run(fixture, "-d", "127.0.0.1:1", "claims", NULL);
+    assert_status(result, UNREACHABLE);
+    assert_contains(result.err, "127.0.0.1:1");
+    result = run(fixture, "--json", "--all", "connections", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, fixture->second->address);
+    fixture->first->report = "[]";
+    result = run(fixture, "servers", NULL);
+    assert_status(result, FAILED);
+    assert_contains(result.err, "operator listener");
+}
+
+/* Guards against special characters that change the request. */
+static void
+test_explain(void **state)
+{
+    Fixture *fixture = *state;
+
+    fixture->first->report = "{\"route\":\"search\"}";
+    assert_status(
+        run(fixture, "explain", "--kind", "a&b", "--key", "x y", NULL), DONE);
+    assert_string_equal(fixture->first->last_path, "/v1/explain");
+}
+
+/* Guards against a partial or refused answer that looks like a complete one,
+ * and a payload that is not sent as it is. */
+static void
+test_query(void **state)
+{
+    Fixture *fixture = *state;
+    const char *address = fixture->first->address;
+    CtlRun result;
+    json_t *body;
+
+    fixture->first->report = "{\"status\":\"complete\",\"coverage\":1}";
+    result = run(fixture, "query", "--caller", address, "--kind", "search.x",
+                 "--key", "k", "--payload", "{\"n\":1}", "--deadline-ms", "50",
+                 "--want", "complete", NULL);
+    assert_status(result, DONE);
+    body = json_loads(fixture->first->last_body, 0, NULL);
+    assert_int_equal(json_integer_value(json_object_get(
+                         json_object_get(body, "payload"), "n")),
+                     1);
+    assert_int_equal(json_integer_value(json_object_get(body, "deadline_ms")),
+                     50);
+    assert_string_equal(json_string_value(json_object_get(body, "want")),
+                        "complete");
+    json_decref(body);
+    fixture->first->report = "{\"status\":\"partial\"}";
+    assert_status(
+        run(fixture, "query", "--caller", address, "--kind", "x", NULL),
+        DIFFERENT);
+    fixture->first->report = "{\"status\":\"refused\"}";
+    assert_status(
+        run(fixture, "query", "--caller", address, "--kind", "x", NULL),
+        FAILED);
+    fixture->first->report = "{\"status\":\"unknown\"}";
+    assert_status(
+        run(fixture, "query", "--caller", address, "--kind", "x", NULL),
+        UNKNOWN);
+    assert_status(run(fixture, "query", "--caller", address, "--kind", "x",
+                      "--payload", "{", NULL),
+                  USAGE);
+}
+
+/* Returns a burn report with a share of slow answers. */
+static char *
+make_burn(Fixture *fixture, uint64_t slow)
+{
+    int64_t wall_ns = HrClock_WallMs(&fixture->clock) * HR_NS_PER_MS;
+    HrBurnReport *report = HrBurnReport_Create(fixture, wall_ns);
+    HrBurnEntry *entry = HrBurnReport_Entry(report, "search", "desk");
+    HrBurnPoint *last = &entry->points[HR_BURN_POINTS - 1];
+
+    report->daemons = 1;
+    entry->objective.latency_ms = 50;
+    entry->objective.latency_target = 0.99;
+    entry->objective.coverage_target = 0.999;
+    entry->short_window.answers = entry->long_window.answers = 100;
+    entry->short_window.slow_answers = entry->long_window.slow_answers = slow;
+    entry->short_window.shards = entry->long_window.shards = 3000;
+    last->counts = entry->short_window;
+    HrBurnPoint_Record(last, 20 * HR_NS_PER_MS);
+    return HrBurnReport_Encode(fixture, report);
+}
+
+/* Guards against a budget that burns too fast without a failing exit status,
+ * rates of one daemon that pass for those of all, and a silent loss of a
+ * daemon. */
+static void
+test_burn(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    fixture->first->burn = make_burn(fixture, 0);
+    fixture->second->burn = make_burn(fixture, 2);
+    result = run(fixture, "burn", NULL);
+    assert_status(result, DONE);
+    assert_contains(result.out, "2 daemons");
+    assert_contains(result.out, "burn rate 1.00 (5 min) 1.00 (60 min)");
+    assert_contains(result.out, "route search, pool desk");
+    fixture->second->burn = make_burn(fixture, 60);
+    result = run(fixture, "burn", NULL);
+    assert_status(result, BURN);
+    assert_contains(result.out, "TOO FAST");
+    result = run(fixture, "--json", "burn", NULL);
+    assert_status(result, BURN);
+    fixture->second->burn = "{}";
+    result = run(fixture, "burn", NULL);
+    assert_status(result, UNREACHABLE);
+    assert_contains(result.err, fixture->second->address);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(test_set_and_get, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_delete, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_export_diff_and_apply, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_malformed_file, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_malformed_command_lines, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_token, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_lost_answer_is_unknown, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_second_daemon_is_tried, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(test_outcomes, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_wait, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_reports, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_explain, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_query, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_burn, set_up, tear_down),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
