--- a/tests/common-operator.c
+++ b/tests/common-operator.c
@@ -140,6 +140,10 @@
     bool post = strcmp(HrHttpExchange_Method(exchange), "POST") == 0;
 
     daemon->last_path = talloc_strdup(daemon, path);
+    daemon->last_kind =
+        talloc_strdup(daemon, HrHttpExchange_Query(exchange, "kind"));
+    daemon->last_key =
+        talloc_strdup(daemon, HrHttpExchange_Query(exchange, "key"));
     daemon->last_body =
         talloc_strndup(daemon, (const char *)body.data, body.length_bytes);
     if (strcmp(path, "/v1/query") == 0) {
--- a/tests/common-operator.h
+++ b/tests/common-operator.h
@@ -26,6 +26,8 @@
     const char *burn;     /* answer to /v1/burn */
     const char *report;   /* answer to all other paths */
     char *last_path;
+    char *last_kind; /* query parameters of /v1/explain */
+    char *last_key;
     char *last_body;
     uint32_t edits; /* edits that were made */
 } FakeDaemon;
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -130,6 +130,39 @@
     talloc_free(sim);
 }
 
+/* Guards against a daemon that misses every hint about an edit and then waits
+ * for the next one. The store is down and the daemon away for less than the
+ * time after which it would read the store, so only the regular comparison
+ * with a peer can help. */
+static void
+test_missed_hints_are_made_up_for(void **state)
+{
+    SimFaults faults = calm;
+    ModelEdit edit = {
+        .values = {{1, MODEL_KEEP, MODEL_KEEP}, {1, MODEL_KEEP, MODEL_KEEP}}};
+    uint32_t away = 0, i;
+    Sim *sim;
+
+    (void)state;
+    faults.one_data_centre = true;
+    sim = Sim_Create(SEED, 6, &faults);
+    Sim_Run(sim, 2 * SECOND);
+    Sim_StartEdit(sim, 0, &edit);
+    Sim_Run(sim, 4 * SECOND);
+    for (i = 0; i < 6; i++) {
+        away = status_of(sim, i).store_reader ? away : i;
+    }
+    sim->daemons[away].cut_off = true;
+    make_edit(sim, (away + 1) % 6, 5);
+    Sim_Run(sim, sim->now_ns + SECOND);
+    assert_int_equal(status_of(sim, away).revision, 1);
+    sim->store->outage = true;
+    sim->daemons[away].cut_off = false;
+    Sim_Run(sim, sim->now_ns + 1500 * MS);
+    assert_int_equal(status_of(sim, away).revision, 2);
+    talloc_free(sim);
+}
+
 /* Guards against a daemon that does not say that it is cut off from the store
  * and all peers, drops its tables, or stays behind afterwards. */
 static void
@@ -509,6 +542,7 @@
         cmocka_unit_test(test_two_readers_per_data_centre),
         cmocka_unit_test(test_readers_call_every_two_seconds),
         cmocka_unit_test(test_daemon_without_peers_reads_the_store),
+        cmocka_unit_test(test_missed_hints_are_made_up_for),
         cmocka_unit_test(test_cut_off_daemon_says_so_and_catches_up),
         cmocka_unit_test(test_new_daemon_takes_tables_from_peers),
         cmocka_unit_test(test_older_store_raises_alarm),
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -454,6 +454,8 @@
     assert_status(
         run(fixture, "explain", "--kind", "a&b", "--key", "x y", NULL), DONE);
     assert_string_equal(fixture->first->last_path, "/v1/explain");
+    assert_string_equal(fixture->first->last_kind, "a&b");
+    assert_string_equal(fixture->first->last_key, "x y");
 }
 
 /* Guards against a partial or refused answer that looks like a complete one,
