--- a/src/coord-claim-evaluate.c
+++ b/src/coord-claim-evaluate.c
@@ -210,7 +210,8 @@
         held->state != HR_CLAIM_HELD) {
         return HR_CLAIM_FINDING_WAIT;
     }
-    if (outcome->state == HR_CLAIM_RELEASED) {
+    if (outcome->state == HR_CLAIM_RELEASED &&
+        outcome->reason != HR_REASON_EXPIRED) {
         HrClaimValue_Remove(partition->proposed, outcome->request_id);
         return HR_CLAIM_FINDING_CHANGE;
     }
--- a/src/coord-claim-holder.c
+++ b/src/coord-claim-holder.c
@@ -36,6 +36,7 @@
     int64_t forget_at_ns; /* RECORDING, CLOSED */
     int64_t due_ns;       /* when the entry needs a timer */
     HrClaimState outcome;
+    HrReason reason; /* why it was released */
     uint16_t result_bytes;
     uint8_t result[HR_CLAIM_RESULT_BYTES];
 } Entry;
@@ -203,6 +204,7 @@
     message->time_left_ns = entry->deadline_ns - now_ns;
     message->first_copy = entry->first_copy;
     message->state = entry->outcome;
+    message->reason = entry->reason;
     message->result_bytes = entry->result_bytes;
     memcpy(message->result, entry->result, entry->result_bytes);
 }
@@ -227,11 +229,13 @@
     reschedule(holder, entry);
 }
 
-/* Gives a claim up that was not dispatched. */
+/* Gives a claim up that was not dispatched. The reason EXPIRED closes the id:
+ * no later copy runs. */
 static void
-release_entry(HrClaimHolder *holder, Entry *entry, int64_t now_ns,
-              int64_t wall_ms)
+release_entry(HrClaimHolder *holder, Entry *entry, HrReason reason,
+              int64_t now_ns, int64_t wall_ms)
 {
+    entry->reason = reason;
     HrCounters_Add(holder->config.counters, HR_COUNTER_claims_released, 1);
     begin_recording(holder, entry, HR_CLAIM_RELEASED, now_ns, wall_ms);
 }
@@ -259,7 +263,7 @@
         push_answer(holder, entry->token, HR_CLAIM_VERDICT_UNKNOWN,
                     HR_REASON_DEADLINE, false);
     }
-    release_entry(holder, entry, now_ns, wall_ms);
+    release_entry(holder, entry, HR_REASON_DEADLINE, now_ns, wall_ms);
 }
 
 /* Does what an entry whose time has come needs. */
@@ -296,20 +300,21 @@
 accept_grant(HrClaimHolder *holder, Entry *entry, int64_t now_ns,
              int64_t wall_ms)
 {
+    HrReason late = now_ns >= entry->deadline_ns   ? HR_REASON_DEADLINE
+                    : wall_ms >= entry->expires_ms ? HR_REASON_EXPIRED
+                                                   : HR_REASON_NONE;
     HrClaimHolderAction *action;
 
     if (entry->state == ENTRY_CLOSED) {
-        release_entry(holder, entry, now_ns, wall_ms);
+        release_entry(holder, entry, entry->reason, now_ns, wall_ms);
     }
     if (entry->state != ENTRY_ASKING) {
         return;
     }
-    if (now_ns >= entry->deadline_ns || wall_ms >= entry->expires_ms) {
-        push_answer(holder, entry->token, HR_CLAIM_VERDICT_REFUSED,
-                    now_ns >= entry->deadline_ns ? HR_REASON_DEADLINE
-                                                 : HR_REASON_EXPIRED,
+    if (late != HR_REASON_NONE) {
+        push_answer(holder, entry->token, HR_CLAIM_VERDICT_REFUSED, late,
                     true);
-        release_entry(holder, entry, now_ns, wall_ms);
+        release_entry(holder, entry, late, now_ns, wall_ms);
         return;
     }
     HrCounters_Add(holder->config.counters, HR_COUNTER_claims_granted, 1);
@@ -457,7 +462,8 @@
         return;
     }
     if (event->u.outcome.state == HR_CLAIM_RELEASED) {
-        release_entry(holder, entry, event->now_ns, event->wall_ms);
+        release_entry(holder, entry, HR_REASON_NONE, event->now_ns,
+                      event->wall_ms);
         return;
     }
     if (result->length_bytes > 0 &&
--- a/src/coord-claim-owner.c
+++ b/src/coord-claim-owner.c
@@ -220,6 +220,15 @@
     }
 }
 
+/* Keeps the earliest time at which a partition needs a timer. */
+static void
+note_wake(HrClaimOwner *owner, const HrClaimPartition *partition)
+{
+    if (partition->wake_ns < owner->wake_ns) {
+        owner->wake_ns = partition->wake_ns;
+    }
+}
+
 /* Returns the op of a holder with a message kind, or NULL. */
 static HrClaimOp *
 find_op(HrClaimPartition *partition, const HrClaimMessage *message,
@@ -309,6 +318,7 @@
     partition->used_ns = event->now_ns;
     accept_message(owner, partition, message, event->now_ns);
     run_partition(owner, partition, event->now_ns, event->wall_ms);
+    note_wake(owner, partition);
 }
 
 /* Takes over the value that a GET has found. */
@@ -434,6 +444,7 @@
         break;
     }
     run_partition(owner, partition, event->now_ns, event->wall_ms);
+    note_wake(owner, partition);
 }
 
 /* Fills in the designed values. */
@@ -463,6 +474,7 @@
     }
     owner->config = *config;
     owner->rng = rng;
+    owner->wake_ns = HR_TIME_NEVER;
     STAILQ_INIT(&owner->actions);
     for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
         owner->partitions[i].index = i;
@@ -473,20 +485,30 @@
     return owner;
 }
 
+/* Runs the partitions whose time has come. */
+static void
+run_due(HrClaimOwner *owner, const HrClaimOwnerEvent *event)
+{
+    uint32_t i;
+
+    owner->wake_ns = HR_TIME_NEVER;
+    for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
+        HrClaimPartition *partition = &owner->partitions[i];
+
+        if (partition->wake_ns <= event->now_ns) {
+            run_partition(owner, partition, event->now_ns, event->wall_ms);
+        }
+        note_wake(owner, partition);
+    }
+}
+
 /* Processes one event. */
 void
 HrClaimOwner_Handle(HrClaimOwner *owner, const HrClaimOwnerEvent *event)
 {
-    uint32_t i;
-
     switch (event->kind) {
     case HR_CLAIM_OWNER_EVENT_TIMER:
-        for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
-            if (owner->partitions[i].wake_ns <= event->now_ns) {
-                run_partition(owner, &owner->partitions[i], event->now_ns,
-                              event->wall_ms);
-            }
-        }
+        run_due(owner, event);
         break;
     case HR_CLAIM_OWNER_EVENT_MESSAGE:
         handle_message(owner, event);
@@ -516,15 +538,7 @@
 int64_t
 HrClaimOwner_NextTimer(const HrClaimOwner *owner)
 {
-    int64_t next_ns = HR_TIME_NEVER;
-    uint32_t i;
-
-    for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
-        if (owner->partitions[i].wake_ns < next_ns) {
-            next_ns = owner->partitions[i].wake_ns;
-        }
-    }
-    return next_ns;
+    return owner->wake_ns;
 }
 
 /* Returns the number of asks and outcomes that are not answered yet. */
--- a/src/coord-claim-partition.h
+++ b/src/coord-claim-partition.h
@@ -60,6 +60,7 @@
     HrRng rng;
     uint64_t last_call;
     uint32_t op_count;
+    int64_t wake_ns;       /* no partition needs a timer before */
     HrClaimMessage unsent; /* written instead of one without memory */
     HrClaimPartition partitions[HR_CLAIM_PARTITIONS];
     STAILQ_HEAD(, HrClaimQueued) actions;
--- a/src/coord-claim.h
+++ b/src/coord-claim.h
@@ -71,7 +71,7 @@
     int64_t time_left_ns;   /* ASK: until the caller's deadline */
     bool first_copy;        /* ASK: see HrClaimStart */
     HrClaimVerdict verdict; /* REPLY */
-    HrReason reason;        /* REPLY */
+    HrReason reason;        /* REPLY; OUTCOME: EXPIRED closes the id */
     bool not_run;           /* REPLY */
     HrClaimState state;     /* REPLY (recorded), OUTCOME */
     uint16_t result_bytes;  /* REPLY, OUTCOME */
