--- a/src/coord-owner.c
+++ b/src/coord-owner.c
@@ -1,6 +1,5 @@
 #include "coord-owner.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include "base-rng.h"
@@ -195,10 +194,8 @@
 uint64_t
 HrOwner_PartitionOwner(const HrMemberView *view, uint32_t partition)
 {
-    char name[16];
-
-    snprintf(name, sizeof(name), "%u", partition);
-    return first_member(view, HrHash_String(name, SEED_PARTITION));
+    return first_member(view,
+                        mix_bits((uint64_t)SEED_PARTITION << 32 | partition));
 }
 
 /* Fills ids with at most limit daemons of a data centre that read the store.
--- /dev/null
+++ b/tests/test-member-fleet.c
@@ -0,0 +1,192 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <talloc.h>
+
+#include "common-members.h"
+
+#define SCHEDULES 3000
+#define FIRST_SEED 1000001
+
+/* Views are equal so long after the last fault: one probe in 10 goes to a
+ * dead member or seed, and a full list may be asked for every 10 s. */
+#define CONVERGE_NS (60 * HR_NS_PER_S)
+
+/* A crashed daemon among at most 6 is out of every view so long after: one
+ * round of probes (5 s), two timeouts (0.9 s), the suspicion (3 s), and as
+ * much again for a suspicion that was passed on late. */
+#define REMOVE_NS (15 * HR_NS_PER_S)
+
+/* Cuts the daemons into two parts. */
+static void
+split_network(HrMembers *members, HrRng *rng)
+{
+    HrFleet *fleet = HrMembers_Fleet(members);
+    uint32_t side = (uint32_t)HrRng_Below(rng, 1U << fleet->daemon_count);
+    uint32_t i, j;
+
+    HrFleet_Trace(fleet, "network split, side %x", side);
+    for (i = 0; i < fleet->daemon_count; i++) {
+        for (j = 0; j < i; j++) {
+            HrFleet_Cut(fleet, i, j, ((side >> i) & 1) != ((side >> j) & 1));
+        }
+    }
+}
+
+/* Crashes or starts a daemon. */
+static void
+toggle_daemon(HrMembers *members, uint32_t daemon)
+{
+    if (HrMembers_Id(members, daemon) != 0) {
+        HrMembers_Crash(members, daemon);
+    }
+    else {
+        HrMembers_Restart(members, daemon);
+    }
+}
+
+/* Injects one random fault. */
+static void
+inject_fault(HrMembers *members, HrRng *rng)
+{
+    HrFleet *fleet = HrMembers_Fleet(members);
+    uint32_t daemon = (uint32_t)HrRng_Below(rng, fleet->daemon_count);
+    bool up = HrMembers_Id(members, daemon) != 0;
+
+    switch (HrRng_Below(rng, 8)) {
+    case 0:
+    case 1:
+        toggle_daemon(members, daemon);
+        break;
+    case 2:
+        HrFleet_Trace(fleet, "daemon %u pauses", daemon);
+        HrFleet_Pause(fleet, daemon,
+                      fleet->now_ns +
+                          HrRng_ExponentialNs(rng, 8 * HR_NS_PER_S));
+        break;
+    case 3:
+        split_network(members, rng);
+        break;
+    case 4:
+        fleet->loss = 0.3 * HrRng_Unit(rng);
+        break;
+    case 5:
+        if (up) {
+            HrMembers_Leave(members, daemon);
+        }
+        break;
+    case 6:
+        if (up) {
+            HrMembers_TakeAway(members, daemon);
+        }
+        break;
+    default:
+        HrFleet_Trace(fleet, "network heals");
+        HrFleet_Heal(fleet);
+        break;
+    }
+}
+
+/* Runs the fleet; the platform's list is published every 10 s. */
+static void
+run_for(HrMembers *members, int64_t duration_ns)
+{
+    HrFleet *fleet = HrMembers_Fleet(members);
+    int64_t end_ns = fleet->now_ns + duration_ns;
+
+    while (fleet->now_ns < end_ns) {
+        int64_t next_ns =
+            (fleet->now_ns / (10 * HR_NS_PER_S) + 1) * 10 * HR_NS_PER_S;
+
+        if (next_ns > end_ns) {
+            HrFleet_Run(fleet, end_ns);
+            return;
+        }
+        HrFleet_Run(fleet, next_ns);
+        HrMembers_PublishVms(members);
+    }
+}
+
+/* Ends every fault and starts the daemons that are down. */
+static void
+heal_all(HrMembers *members)
+{
+    HrFleet *fleet = HrMembers_Fleet(members);
+    uint32_t i;
+
+    HrFleet_Heal(fleet);
+    HrFleet_Trace(fleet, "faults end");
+    for (i = 0; i < fleet->daemon_count; i++) {
+        if (fleet->daemons[i].paused_until_ns > fleet->now_ns) {
+            run_for(members,
+                    fleet->daemons[i].paused_until_ns - fleet->now_ns);
+        }
+    }
+    run_for(members, 10 * HR_NS_PER_S);
+    for (i = 0; i < fleet->daemon_count; i++) {
+        if (HrMembers_Id(members, i) == 0) {
+            HrMembers_Restart(members, i);
+        }
+    }
+}
+
+/* Runs a few daemons under random faults; then the views converge, and a
+ * daemon that crashes is removed within the bound. */
+static bool
+check_schedule(uint64_t seed, bool trace)
+{
+    void *parent = talloc_new(NULL);
+    HrRng rng = HrRng_FromSeed(~seed);
+    HrMembers *members =
+        HrMembers_Create(parent, seed, 3 + (uint32_t)HrRng_Below(&rng, 4));
+    HrFleet *fleet = HrMembers_Fleet(members);
+    uint32_t faults = (uint32_t)HrRng_Below(&rng, 10), i;
+    int64_t gap_ns = (HrRng_Chance(&rng, 0.2) ? 30 : 3) * HR_NS_PER_S;
+    bool ok;
+
+    fleet->trace = trace;
+    fleet->duplication = 0.1 * HrRng_Unit(&rng);
+    run_for(members, 3 * HR_NS_PER_S);
+    for (i = 0; i < faults; i++) {
+        inject_fault(members, &rng);
+        run_for(members, HrRng_ExponentialNs(&rng, gap_ns));
+    }
+    heal_all(members);
+    run_for(members, CONVERGE_NS);
+    ok = HrMembers_Converged(members) && HrMembers_Ok(members);
+    i = (uint32_t)HrRng_Below(&rng, fleet->daemon_count);
+    if (ok && HrMembers_Id(members, i) != 0) {
+        HrMembers_Crash(members, i);
+        run_for(members, REMOVE_NS);
+        ok = HrMembers_Converged(members);
+    }
+    talloc_free(parent);
+    return ok;
+}
+
+/* Guards against views that stay different, live daemons that stay evicted,
+ * dead ones that stay in, and drains because of a stale VM list, under
+ * crashes, pauses, partitions, loss, duplication, leaving and reused
+ * addresses. */
+static void
+test_views_converge(void **state)
+{
+    assert_int_equal(HrFleet_RunSeeds("membership", FIRST_SEED,
+                                      HrFleet_Schedules(SCHEDULES),
+                                      check_schedule),
+                     0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_views_converge),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
