--- a/src/coord-member-hint.c
+++ b/src/coord-member-hint.c
@@ -49,14 +49,12 @@
 }
 
 /* Returns true if a leaving mark may be meant for a former daemon at the
- * address: the list lags, and has not shown the address as live since. */
+ * address: the list lags, and may even go back to an older state. */
 static bool
-may_lag(const HrMembership *membership, const HrMemberSeed *seed,
-        int64_t first_seen_ns)
+may_lag(const HrMembership *membership, int64_t first_seen_ns)
 {
-    return (seed == NULL || !seed->seen_live) &&
-           membership->now_ns - first_seen_ns <
-               membership->config.vm_list_lag_ns;
+    return membership->now_ns - first_seen_ns <
+           membership->config.vm_list_lag_ns;
 }
 
 /* Returns true if the platform's list may still show a former daemon at this
@@ -64,52 +62,36 @@
 bool
 HrMembership_ListMayLag(const HrMembership *membership)
 {
-    HrMemberSeed *seed;
-
-    HASH_FIND_STR(membership->seeds, membership->self.peer_address, seed);
-    return may_lag(membership, seed, membership->started_ns);
-}
-
-/* Marks a daemon as honoured, so that each mark counts once for it. */
-static void
-mark_honoured(HrMemberSeed *seed, uint64_t daemon_id)
-{
-    seed->honoured_id = daemon_id;
-    seed->seen_live = false;
+    return may_lag(membership, membership->started_ns);
 }
 
 /* Honours that the platform takes this VM away. */
 static void
-honour_own_leaving(HrMembership *membership, HrMemberSeed *seed)
+honour_own_leaving(HrMembership *membership)
 {
     if (membership->self.state == HR_MEMBER_LEAVING ||
-        may_lag(membership, seed, membership->started_ns)) {
+        HrMembership_ListMayLag(membership)) {
         return;
     }
-    mark_honoured(seed, membership->self.daemon_id);
     HrMemberTable_Leave(membership);
     HrMembership_Push(membership, HR_MEMBER_ACTION_LEAVING);
 }
 
-/* Honours that the platform takes a VM away, once for each daemon on it. */
+/* Honours that the platform takes a VM away. */
 static void
-honour_leaving(HrMembership *membership, HrMemberSeed *seed)
+honour_leaving(HrMembership *membership, const char *address)
 {
     HrMemberNode *node;
 
-    if (strcmp(seed->address, membership->self.peer_address) == 0) {
-        honour_own_leaving(membership, seed);
-        return;
-    }
-    node = HrMemberTable_FindAddress(membership, seed->address);
-    if (node == NULL || node->record.daemon_id == seed->honoured_id ||
-        may_lag(membership, seed, node->first_seen_ns)) {
+    if (strcmp(address, membership->self.peer_address) == 0) {
+        honour_own_leaving(membership);
         return;
     }
-    mark_honoured(seed, node->record.daemon_id);
-    if (node->record.state < HR_MEMBER_LEAVING) {
+    node = HrMemberTable_FindAddress(membership, address);
+    if (node != NULL && node->record.state < HR_MEMBER_LEAVING &&
+        !may_lag(membership, node->first_seen_ns)) {
         HrMemberTable_SetState(membership, node, HR_MEMBER_LEAVING);
-        HrMembership_Nudge(membership, node, seed->address);
+        HrMembership_Nudge(membership, node, address);
     }
 }
 
@@ -159,11 +141,7 @@
         seed->listed = true;
         seed->list_number = membership->list_number;
         if (vms[i].leaving) {
-            honour_leaving(membership, seed);
-        }
-        else {
-            seed->seen_live = true;
-            seed->honoured_id = 0;
+            honour_leaving(membership, seed->address);
         }
     }
     suspect_missing(membership);
--- a/src/coord-member-table.h
+++ b/src/coord-member-table.h
@@ -41,8 +41,6 @@
     UT_hash_handle hh;
     bool from_settings;
     bool listed;          /* by the platform's last list */
-    bool seen_live;       /* listed as live since it was last honoured */
-    uint64_t honoured_id; /* the daemon whose leaving was honoured */
     uint64_t list_number; /* of the last list that has it */
 } HrMemberSeed;
 
