--- /dev/null
+++ b/tests/test-member-codec.c
@@ -0,0 +1,250 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base-rng.h"
+#include "proto-member-codec.h"
+#include "proto-member.pb-c.h"
+
+#define SEED 31
+
+/* Fills a string with random printable characters. */
+static void
+fill_text(HrRng *rng, char *text, size_t size)
+{
+    size_t length = 1 + HrRng_Below(rng, size - 1), i;
+
+    for (i = 0; i < length; i++) {
+        text[i] = (char)('!' + HrRng_Below(rng, '~' - '!' + 1));
+    }
+    text[length] = '\0';
+}
+
+/* Returns a random member. */
+static HrMember
+random_member(HrRng *rng)
+{
+    HrMember member;
+
+    memset(&member, 0, sizeof(member));
+    member.daemon_id = HrRng_Next(rng) | 1;
+    member.incarnation = HrRng_Next(rng);
+    member.state = (HrMemberState)HrRng_Below(rng, HR_MEMBER_DEAD + 1);
+    member.spare_percent = (uint32_t)HrRng_Below(rng, 101);
+    fill_text(rng, member.peer_address, HR_ADDRESS_BYTES);
+    fill_text(rng, member.caller_address, HR_ADDRESS_BYTES);
+    fill_text(rng, member.data_centre, HR_NAME_BYTES);
+    fill_text(rng, member.region, HR_NAME_BYTES);
+    return member;
+}
+
+/* Returns a random message with the given updates. */
+static HrMemberMessage
+random_message(HrRng *rng, HrMember *updates, uint32_t count)
+{
+    HrMemberMessage message;
+    uint32_t i;
+
+    memset(&message, 0, sizeof(message));
+    message.kind =
+        (HrMemberMessageKind)HrRng_Below(rng, HR_MEMBER_MESSAGE_LIST + 1);
+    message.sequence = HrRng_Next(rng);
+    message.sender = random_member(rng);
+    message.view_digest = HrRng_Next(rng);
+    message.target_id = HrRng_Next(rng);
+    message.subject_id = HrRng_Next(rng);
+    fill_text(rng, message.target_address, HR_ADDRESS_BYTES);
+    for (i = 0; i < count; i++) {
+        updates[i] = random_member(rng);
+    }
+    message.updates = updates;
+    message.update_count = count;
+    return message;
+}
+
+/* Checks that two members are the same. */
+static void
+assert_same_member(const HrMember *left, const HrMember *right)
+{
+    assert_int_equal(left->daemon_id, right->daemon_id);
+    assert_int_equal(left->incarnation, right->incarnation);
+    assert_int_equal(left->state, right->state);
+    assert_int_equal(left->spare_percent, right->spare_percent);
+    assert_string_equal(left->peer_address, right->peer_address);
+    assert_string_equal(left->caller_address, right->caller_address);
+    assert_string_equal(left->data_centre, right->data_centre);
+    assert_string_equal(left->region, right->region);
+}
+
+/* Guards against fields that are lost or mixed up on the way. */
+static void
+test_round_trip(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    HrMember updates[HR_MEMBER_PAGE];
+    uint32_t round, i;
+
+    for (round = 0; round < 500; round++) {
+        void *parent = talloc_new(NULL);
+        HrMemberMessage sent = random_message(
+            &rng, updates, (uint32_t)HrRng_Below(&rng, HR_MEMBER_PAGE + 1));
+        HrMemberMessage got;
+        HrBytes bytes;
+
+        assert_int_equal(HrMemberCodec_Encode(parent, &sent, &bytes, NULL),
+                         HR_OK);
+        assert_true(bytes.length_bytes <= HR_MEMBER_MESSAGE_BYTES);
+        assert_int_equal(HrMemberCodec_Decode(parent, bytes, &got, NULL),
+                         HR_OK);
+        assert_int_equal(got.kind, sent.kind);
+        assert_int_equal(got.sequence, sent.sequence);
+        assert_int_equal(got.view_digest, sent.view_digest);
+        assert_int_equal(got.target_id, sent.target_id);
+        assert_int_equal(got.subject_id, sent.subject_id);
+        assert_string_equal(got.target_address, sent.target_address);
+        assert_same_member(&got.sender, &sent.sender);
+        assert_int_equal(got.update_count, sent.update_count);
+        for (i = 0; i < sent.update_count; i++) {
+            assert_same_member(&got.updates[i], &sent.updates[i]);
+        }
+        talloc_free(parent);
+    }
+}
+
+/* Guards against crashes and accepted nonsense: cut, changed and random bytes
+ * either decode to a valid message or are refused. */
+static void
+test_damaged_bytes(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED + 1);
+    HrMember updates[HR_MEMBER_PAGE];
+    uint32_t round, i, refused = 0;
+
+    for (round = 0; round < 20000; round++) {
+        void *parent = talloc_new(NULL);
+        HrMemberMessage sent = random_message(&rng, updates, 3), got;
+        HrBytes bytes;
+        uint8_t *data;
+
+        assert_int_equal(HrMemberCodec_Encode(parent, &sent, &bytes, NULL),
+                         HR_OK);
+        data = talloc_memdup(parent, bytes.data, bytes.length_bytes);
+        bytes.data = data;
+        if (HrRng_Chance(&rng, 0.3)) {
+            bytes.length_bytes = HrRng_Below(&rng, bytes.length_bytes);
+        }
+        for (i = 0; i < 3 && bytes.length_bytes > 0; i++) {
+            data[HrRng_Below(&rng, bytes.length_bytes)] =
+                (uint8_t)HrRng_Next(&rng);
+        }
+        if (HrMemberCodec_Decode(parent, bytes, &got, NULL) != HR_OK) {
+            refused++;
+        }
+        else {
+            assert_true(got.kind <= HR_MEMBER_MESSAGE_LIST);
+            assert_true(got.update_count <= HR_MEMBER_PAGE);
+            assert_true(strlen(got.sender.peer_address) < HR_ADDRESS_BYTES);
+        }
+        talloc_free(parent);
+    }
+    print_message("seed %d: %u of 20000 refused\n", SEED + 1, refused);
+    assert_true(refused > 1000);
+}
+
+/* Encodes a raw protobuf message and returns what decoding it yields. */
+static int
+decode_raw(const Hickory__MemberMessage *raw)
+{
+    void *parent = talloc_new(NULL);
+    size_t size = hickory__member_message__get_packed_size(raw);
+    uint8_t *data = talloc_array(parent, uint8_t, size);
+    HrBytes bytes = {data, size};
+    HrMemberMessage message;
+    HrError err = {0};
+    int rc;
+
+    hickory__member_message__pack(raw, data);
+    rc = HrMemberCodec_Decode(parent, bytes, &message, &err);
+    assert_true(rc == HR_OK || err.message[0] != '\0');
+    talloc_free(parent);
+    return rc;
+}
+
+/* Guards against values that the modules do not expect. */
+static void
+test_invalid_values(void **state)
+{
+    Hickory__MemberMessage raw = HICKORY__MEMBER_MESSAGE__INIT;
+    Hickory__MemberRecord sender = HICKORY__MEMBER_RECORD__INIT;
+    Hickory__MemberRecord *updates[HR_MEMBER_PAGE + 1];
+    char text[HR_ADDRESS_BYTES + 1];
+    uint32_t i;
+
+    assert_int_equal(decode_raw(&raw), HR_ERR_INVALID);
+    raw.sender = &sender;
+    assert_int_equal(decode_raw(&raw), HR_ERR_INVALID);
+    sender.daemon_id = 5;
+    sender.peer_address = "10.0.0.1:7000";
+    assert_int_equal(decode_raw(&raw), HR_OK);
+    raw.kind = HR_MEMBER_MESSAGE_LIST + 1;
+    assert_int_equal(decode_raw(&raw), HR_ERR_INVALID);
+    raw.kind = 0;
+    sender.state = HR_MEMBER_DEAD + 1;
+    assert_int_equal(decode_raw(&raw), HR_ERR_RANGE);
+    sender.state = 0;
+    sender.spare_percent = 101;
+    assert_int_equal(decode_raw(&raw), HR_ERR_RANGE);
+    sender.spare_percent = 0;
+    sender.region = "a b";
+    assert_int_equal(decode_raw(&raw), HR_ERR_INVALID);
+    memset(text, 'x', HR_ADDRESS_BYTES);
+    text[HR_ADDRESS_BYTES] = '\0';
+    sender.region = "";
+    raw.target_address = text;
+    assert_int_equal(decode_raw(&raw), HR_ERR_RANGE);
+    raw.target_address = "";
+    for (i = 0; i <= HR_MEMBER_PAGE; i++) {
+        updates[i] = &sender;
+    }
+    raw.updates = updates;
+    raw.n_updates = HR_MEMBER_PAGE;
+    assert_int_equal(decode_raw(&raw), HR_OK);
+    raw.n_updates = HR_MEMBER_PAGE + 1;
+    assert_int_equal(decode_raw(&raw), HR_ERR_TOO_LARGE);
+}
+
+/* Guards against memory that a large message could take. */
+static void
+test_too_large(void **state)
+{
+    static uint8_t data[HR_MEMBER_MESSAGE_BYTES + 1];
+    HrBytes bytes = {data, sizeof(data)};
+    HrMemberMessage message;
+
+    assert_int_equal(HrMemberCodec_Decode(NULL, bytes, &message, NULL),
+                     HR_ERR_TOO_LARGE);
+    memset(&message, 0, sizeof(message));
+    message.update_count = HR_MEMBER_PAGE + 1;
+    assert_int_equal(HrMemberCodec_Encode(NULL, &message, &bytes, NULL),
+                     HR_ERR_TOO_LARGE);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_round_trip),
+        cmocka_unit_test(test_damaged_bytes),
+        cmocka_unit_test(test_invalid_values),
+        cmocka_unit_test(test_too_large),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
