--- a/src/coord-owner.c
+++ b/src/coord-owner.c
@@ -107,7 +107,7 @@
              const HrOwnerPreference *prefer, const char *only, uint64_t *ids,
              uint32_t limit)
 {
-    Rank best[HR_OWNER_CANDIDATES * 2];
+    Rank best[HR_OWNER_CANDIDATES * 2] = {{0}};
     uint32_t i, count = 0;
 
     if (limit > HR_OWNER_CANDIDATES * 2) {
--- a/src/proto-member.pb-c.c
+++ b/src/proto-member.pb-c.c
@@ -136,74 +136,74 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "peer_address",
+    "spare_percent",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Hickory__MemberRecord, peer_address),
+    offsetof(Hickory__MemberRecord, spare_percent),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "caller_address",
+    "peer_address",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Hickory__MemberRecord, caller_address),
+    offsetof(Hickory__MemberRecord, peer_address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data_centre",
+    "caller_address",
     6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Hickory__MemberRecord, data_centre),
+    offsetof(Hickory__MemberRecord, caller_address),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "region",
+    "data_centre",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Hickory__MemberRecord, region),
+    offsetof(Hickory__MemberRecord, data_centre),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "spare_percent",
+    "region",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Hickory__MemberRecord, spare_percent),
-    NULL,
+    offsetof(Hickory__MemberRecord, region),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned hickory__member_record__field_indices_by_name[] = {
-  4,   /* field[4] = caller_address */
+  5,   /* field[5] = caller_address */
   0,   /* field[0] = daemon_id */
-  5,   /* field[5] = data_centre */
+  6,   /* field[6] = data_centre */
   1,   /* field[1] = incarnation */
-  3,   /* field[3] = peer_address */
-  6,   /* field[6] = region */
-  7,   /* field[7] = spare_percent */
+  4,   /* field[4] = peer_address */
+  7,   /* field[7] = region */
+  3,   /* field[3] = spare_percent */
   2,   /* field[2] = state */
 };
 static const ProtobufCIntRange hickory__member_record__number_ranges[1 + 1] =
--- a/src/proto-member.pb-c.h
+++ b/src/proto-member.pb-c.h
@@ -30,15 +30,15 @@
   uint64_t daemon_id;
   uint64_t incarnation;
   uint32_t state;
+  uint32_t spare_percent;
   char *peer_address;
   char *caller_address;
   char *data_centre;
   char *region;
-  uint32_t spare_percent;
 };
 #define HICKORY__MEMBER_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hickory__member_record__descriptor) \
-    , 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Hickory__MemberMessage
--- a/tests/common-fleet.c
+++ b/tests/common-fleet.c
@@ -1,5 +1,6 @@
 #include "common-fleet.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -283,16 +284,16 @@
     if (one != NULL) {
         uint64_t seed = strtoull(one, NULL, 10);
 
-        printf("%s: seed %llu\n", name, (unsigned long long)seed);
+        printf("%s: seed %" PRIu64 "\n", name, seed);
         return schedule(seed, true) ? 0 : 1;
     }
-    printf("%s: seeds %llu to %llu\n", name, (unsigned long long)first,
-           (unsigned long long)(first + count - 1));
+    printf("%s: seeds %" PRIu64 " to %" PRIu64 "\n", name, first,
+           first + count - 1);
     for (i = 0; i < count; i++) {
         if (!schedule(first + i, false)) {
-            printf("%s: seed %llu failed; replay with HR_SEED=%llu\n", name,
-                   (unsigned long long)(first + i),
-                   (unsigned long long)(first + i));
+            printf("%s: seed %" PRIu64 " failed; replay with HR_SEED=%" PRIu64
+                   "\n",
+                   name, first + i, first + i);
             failed++;
         }
     }
--- a/tests/test-claim-codec.c
+++ b/tests/test-claim-codec.c
@@ -293,7 +293,7 @@
 {
     void *parent = talloc_new(NULL);
     HrRng rng = HrRng_FromSeed(SEED + 4);
-    HrClaimValue *value = random_value(&rng, parent, 6000), *got;
+    HrClaimValue *value = random_value(&rng, parent, 9000), *got;
     uint8_t *data =
         talloc_zero_array(parent, uint8_t, HR_CLAIM_VALUE_BYTES + 1);
     HrBytes bytes = {data, HR_CLAIM_VALUE_BYTES + 1};
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -23,7 +23,8 @@
 
     memset(members, 0, count * sizeof(*members));
     for (i = 0; i < count; i++) {
-        members[i].daemon_id = (i + 1) * 1000 + HrRng_Below(&rng, 1000);
+        members[i].daemon_id =
+            (i + 1) * UINT64_C(1000) + HrRng_Below(&rng, 1000);
         snprintf(members[i].data_centre, HR_NAME_BYTES, "dc%u", i % 3);
     }
     view->members = members;
@@ -89,7 +90,6 @@
     uint64_t ids[4], first;
 
     fill_view(&view, members, 4);
-    first = HrOwner_PoolHome(&view, "pool");
     HrOwner_Candidates(&view, "pool", "group", NULL, ids, 4);
     first = ids[0];
     ((HrMember *)HrMemberView_Find(&view, first))->state = HR_MEMBER_SUSPECT;
