--- a/src/coord-owner.c
+++ b/src/coord-owner.c
@@ -1,6 +1,5 @@
 #include "coord-owner.h"
 
-#include <stdio.h>
 #include <string.h>
 
 #include "base-rng.h"
@@ -108,7 +107,7 @@
              const HrOwnerPreference *prefer, const char *only, uint64_t *ids,
              uint32_t limit)
 {
-    Rank best[HR_OWNER_CANDIDATES * 2];
+    Rank best[HR_OWNER_CANDIDATES * 2] = {{0}};
     uint32_t i, count = 0;
 
     if (limit > HR_OWNER_CANDIDATES * 2) {
@@ -195,10 +194,8 @@
 uint64_t
 HrOwner_PartitionOwner(const HrMemberView *view, uint32_t partition)
 {
-    char name[16];
-
-    snprintf(name, sizeof(name), "%u", partition);
-    return first_member(view, HrHash_String(name, SEED_PARTITION));
+    return first_member(view,
+                        mix_bits((uint64_t)SEED_PARTITION << 32 | partition));
 }
 
 /* Fills ids with at most limit daemons of a data centre that read the store.
