--- a/tools/load.c
+++ b/tools/load.c
@@ -150,7 +150,7 @@
     }
     entries->end_ns =
         now_ns +
-        json_integer_value(json_object_get(json, "keep_ms")) * HR_NS_PER_MS;
+        json_integer_value(json_object_get(json, "ttl_ms")) * HR_NS_PER_MS;
     return entries->count > 0;
 }
 
@@ -245,7 +245,6 @@
 count_answer(Worker *worker, const json_t *json, int64_t latency_ns)
 {
     const char *status = json_string_value(json_object_get(json, "status"));
-    json_t *coverage = json_object_get(json, "coverage");
     size_t i;
 
     for (i = 0; status != NULL && i < STATUS_COUNT; i++) {
@@ -259,10 +258,9 @@
         }
         return;
     }
-    worker->shards_answered +=
-        json_array_size(json_object_get(coverage, "contributed"));
+    worker->shards_answered += json_array_size(json_object_get(json, "parts"));
     worker->shards_missing +=
-        json_array_size(json_object_get(coverage, "missing"));
+        json_array_size(json_object_get(json, "missing"));
     HrHist_Record(&worker->latency, latency_ns);
     if (latency_ns > worker->load->deadline_ms * HR_NS_PER_MS) {
         worker->late++;
