--- a/Makefile
+++ b/Makefile
@@ -114,20 +114,17 @@
 	rm src/peer.pb-c.c
 
 $(BUILD)/%.o: %.c
-	@mkdir -p $(@D)
-	$(CC) $(CFLAGS_ALL) -Itests -Itools -MMD -MP -c $< -o $@
+	@mkdir -p $(@D); echo CC $<; \
+	    $(CC) $(CFLAGS_ALL) -Itests -Itools -MMD -MP -c $< -o $@
 
 $(LIB): $(call obj,$(LIB_SRC))
-	@rm -f $@
-	ar rcs $@ $^
+	@rm -f $@; echo AR $@; ar rcs $@ $^
 $(NODE_LIB): $(call obj,$(NODE_SRC))
-	@rm -f $@
-	ar rcs $@ $^
+	@rm -f $@; echo AR $@; ar rcs $@ $^
 $(DAEMON_LIB): $(call obj,$(filter-out src/daemon-main.c,$(DAEMON_SRC)))
-	@rm -f $@
-	ar rcs $@ $^
+	@rm -f $@; echo AR $@; ar rcs $@ $^
 $(LIB_SHARED): $(call obj,$(LIB_SRC))
-	$(CC) -shared -Wl,-soname,libhickory.so.0 $^ -o $@ $(LDLIBS_ALL)
+	@echo LINK $@; $(CC) -shared -Wl,-soname,libhickory.so.0 $^ -o $@ $(LDLIBS_ALL)
 
 LINK = @mkdir -p $(@D); echo LINK $@; $(CC) $(filter %.o,$^) \
     $(filter %.a,$^) -o $@ $(LDLIBS_ALL)
