--- a/src/daemon-control-drain.c
+++ b/src/daemon-control-drain.c
@@ -8,6 +8,9 @@
 /* The last frames and answers are written before the daemon exits. */
 #define EXIT_DELAY_NS (200 * HR_NS_PER_MS)
 
+/* Entry lists vary the time to keep them by up to a fifth either way. */
+#define KEEP_JITTER_PERCENT 120
+
 struct HrControlDrain {
     HrControl *control;
     HrDrain *drain;
@@ -126,7 +129,8 @@
     drain->control = control;
     control->drain = drain;
     HrDrainConfig_Default(&config);
-    config.keep_ns = (int64_t)settings->entries_keep_ms * HR_NS_PER_MS;
+    config.keep_ns = (int64_t)settings->entries_keep_ms * HR_NS_PER_MS *
+                     KEEP_JITTER_PERCENT / 100;
     config.finish_limit_ns =
         (int64_t)settings->drain_timeout_ms * HR_NS_PER_MS;
     drain->drain = HrDrain_Create(drain, &config);
--- /dev/null
+++ b/tests/common-process.c
@@ -0,0 +1,503 @@
+#include "common-process.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <dirent.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "base-clock.h"
+
+/* Overall limits; a sanitizer build on a busy machine is slow. */
+#define SERVING_LIMIT_MS 60000
+#define EXIT_LIMIT_MS 60000
+#define POLL_MS 20
+#define REQUEST_TIMEOUT_MS 30000
+#define ANSWER_MAX_BYTES (1u << 22)
+#define KEY "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
+
+extern char **environ;
+
+/* Returns the wall time in milliseconds since 1970. */
+int64_t
+TestClock_WallMs(void)
+{
+    HrClock clock = HrClock_System();
+
+    return HrClock_WallMs(&clock);
+}
+
+/* Sleeps. */
+void
+TestClock_SleepMs(int64_t duration_ms)
+{
+    usleep((useconds_t)(duration_ms * 1000));
+}
+
+/* Starts a program of $BIN. */
+pid_t
+TestProcess_Start(const char *directory, const char *log_name,
+                  char *const *arguments)
+{
+    const char *bin = getenv("BIN");
+    char program[512], log[512];
+    posix_spawn_file_actions_t actions;
+    pid_t pid;
+
+    snprintf(program, sizeof(program), "%s/%s",
+             bin != NULL ? bin : "build/release/bin", arguments[0]);
+    snprintf(log, sizeof(log), "%s/%s", directory, log_name);
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log,
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    assert_int_equal(
+        posix_spawn(&pid, program, &actions, NULL, arguments, environ), 0);
+    posix_spawn_file_actions_destroy(&actions);
+    return pid;
+}
+
+/* Waits for the end of a process; fails the test after a minute. */
+int
+TestProcess_Wait(pid_t pid)
+{
+    int64_t end_ms = TestClock_WallMs() + EXIT_LIMIT_MS;
+    int status;
+
+    while (waitpid(pid, &status, WNOHANG) == 0) {
+        if (TestClock_WallMs() > end_ms) {
+            kill(pid, SIGKILL);
+            waitpid(pid, &status, 0);
+            fail_msg("process %d did not end", (int)pid);
+        }
+        TestClock_SleepMs(POLL_MS);
+    }
+    return status;
+}
+
+/* Returns a port that was free a moment ago. */
+static uint16_t
+free_port(void)
+{
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof(in);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    assert_int_equal(bind(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&in, &length), 0);
+    close(fd);
+    return ntohs(in.sin_port);
+}
+
+/* Returns the first of several ports, all of which were free a moment ago.
+ * They lie below the range of the ports that the system hands out. */
+static uint16_t
+free_port_range(uint32_t count)
+{
+    uint32_t first = 10000 + (uint32_t)getpid() % 200 * 100, i;
+    int tries;
+
+    for (tries = 0; tries < 200; tries++, first += 100) {
+        if (first + count > 32000) {
+            first = 10000;
+        }
+        for (i = 0; i < count; i++) {
+            struct sockaddr_in in = {.sin_family = AF_INET,
+                                     .sin_port = htons((uint16_t)(first + i)),
+                                     .sin_addr.s_addr =
+                                         htonl(INADDR_LOOPBACK)};
+            int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+            int rc = bind(fd, (struct sockaddr *)&in, sizeof(in));
+
+            close(fd);
+            if (rc != 0) {
+                break;
+            }
+        }
+        if (i == count) {
+            return (uint16_t)first;
+        }
+    }
+    fail_msg("no %u free ports", count);
+    return 0;
+}
+
+/* A body that is being received. */
+typedef struct Received {
+    char *data;
+    size_t length;
+} Received;
+
+/* Collects a body. */
+static size_t
+collect(char *data, size_t size, size_t count, void *arg)
+{
+    Received *received = arg;
+    size_t length = size * count;
+
+    if (received->length + length > ANSWER_MAX_BYTES) {
+        return 0;
+    }
+    received->data = realloc(received->data, received->length + length + 1);
+    memcpy(received->data + received->length, data, length);
+    received->length += length;
+    return length;
+}
+
+/* Sends a request and waits for the answer. */
+TestAnswer
+TestHttp_Send(uint16_t port, const char *path, const char *token,
+              const char *body)
+{
+    TestAnswer answer = {0, NULL};
+    Received received = {NULL, 0};
+    struct curl_slist *headers = curl_slist_append(NULL, "Expect:");
+    CURL *easy = curl_easy_init();
+    char text[512];
+    long status = 0;
+
+    snprintf(text, sizeof(text), "http://127.0.0.1:%u%s", port, path);
+    curl_easy_setopt(easy, CURLOPT_URL, text);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)REQUEST_TIMEOUT_MS);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, collect);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &received);
+    if (token != NULL) {
+        snprintf(text, sizeof(text), "Authorization: Bearer %s", token);
+        headers = curl_slist_append(headers, text);
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+    if (body != NULL) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+    }
+    if (curl_easy_perform(easy) == CURLE_OK) {
+        curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+        answer.status = (int)status;
+        answer.json = json_loadb(received.data != NULL ? received.data : "",
+                                 received.length, 0, NULL);
+    }
+    curl_easy_cleanup(easy);
+    curl_slist_free_all(headers);
+    free(received.data);
+    return answer;
+}
+
+/* Releases an answer. */
+void
+TestAnswer_Release(TestAnswer *answer)
+{
+    json_decref(answer->json);
+    answer->json = NULL;
+}
+
+/* Returns the string field of an answer; "" when there is none. */
+const char *
+TestAnswer_Text(const TestAnswer *answer, const char *field)
+{
+    const char *text = json_string_value(json_object_get(answer->json, field));
+
+    return text != NULL ? text : "";
+}
+
+/* Sends a query and returns the answer. */
+TestAnswer
+TestCluster_Query(const TestCluster *cluster, uint32_t index, const char *body)
+{
+    return TestHttp_Send(cluster->daemons[index].caller_port, "/v1/query",
+                         NULL, body);
+}
+
+/* Writes the settings file of a daemon. */
+static void
+write_settings(const TestCluster *cluster, uint32_t index)
+{
+    const TestDaemon *daemon = &cluster->daemons[index];
+    char path[128];
+    FILE *file;
+
+    snprintf(path, sizeof(path), "%s/settings-%u.json", cluster->directory,
+             index);
+    file = fopen(path, "w");
+    assert_non_null(file);
+    fprintf(file,
+            "{\"cluster\":\"test\",\"data_centre\":\"dc%u\","
+            "\"region\":\"r1\",\"caller\":{\"listen\":\"127.0.0.1:%u\"},"
+            "\"operator\":{\"listen\":\"127.0.0.1:%u\",\"token\":\"%s\"},"
+            "\"peer\":{\"listen\":\"127.0.0.1:%u\",\"key\":\"%s\","
+            "\"seeds\":[\"127.0.0.1:%u\"]},"
+            "\"store\":{\"address\":\"127.0.0.1:%u\"},"
+            "\"tasks\":{\"query\":2,\"sched\":2},"
+            "\"timing\":{\"entries_keep_ms\":500,\"status_poll_ms\":200}}\n",
+            index % 3, daemon->caller_port, daemon->operator_port, TEST_TOKEN,
+            daemon->peer_port, KEY, cluster->daemons[0].peer_port,
+            cluster->platform_port);
+    fclose(file);
+}
+
+/* Starts or restarts one daemon of a cluster. */
+void
+TestCluster_StartDaemon(TestCluster *cluster, uint32_t index)
+{
+    char settings[128], log[64];
+    char *arguments[] = {"hickoryrouterd", "-s", settings, NULL};
+
+    snprintf(settings, sizeof(settings), "%s/settings-%u.json",
+             cluster->directory, index);
+    snprintf(log, sizeof(log), "daemon-%u.log", index);
+    write_settings(cluster, index);
+    cluster->daemons[index].pid =
+        TestProcess_Start(cluster->directory, log, arguments);
+}
+
+/* Waits until a path answers with a status below 500. */
+static void
+wait_for_path(uint16_t port, const char *path)
+{
+    int64_t end_ms = TestClock_WallMs() + SERVING_LIMIT_MS;
+
+    for (;;) {
+        TestAnswer answer = TestHttp_Send(port, path, NULL, NULL);
+        bool answered = answer.status > 0 && answer.status < 500;
+
+        TestAnswer_Release(&answer);
+        if (answered) {
+            return;
+        }
+        assert_true(TestClock_WallMs() < end_ms);
+        TestClock_SleepMs(POLL_MS);
+    }
+}
+
+/* Starts the simulated platform and the backend servers. */
+static void
+start_services(TestCluster *cluster)
+{
+    char port[16], first[16], groups[16], replicas[16];
+    char *platform[] = {"fake-platform", "--port", port, NULL};
+    char *backend[] = {"fake-backend", "--pool",   "pool", "--port",
+                       first,          "--groups", groups, "--replicas",
+                       replicas,       "--slots",  "5",    NULL};
+
+    cluster->platform_port = free_port();
+    cluster->backend_port =
+        free_port_range(cluster->groups * cluster->replicas);
+    snprintf(port, sizeof(port), "%u", cluster->platform_port);
+    snprintf(first, sizeof(first), "%u", cluster->backend_port);
+    snprintf(groups, sizeof(groups), "%u", cluster->groups);
+    snprintf(replicas, sizeof(replicas), "%u", cluster->replicas);
+    cluster->platform_pid =
+        TestProcess_Start(cluster->directory, "platform.log", platform);
+    cluster->backend_pid =
+        TestProcess_Start(cluster->directory, "backend.log", backend);
+    wait_for_path(cluster->platform_port, "/v1/vms");
+    wait_for_path(cluster->backend_port, "/v1/status");
+}
+
+/* Returns the row of a route. */
+static json_t *
+make_route(const char *name, const char *finish, bool idempotent)
+{
+    return json_pack("{s:s,s:s,s:s,s:i,s:s,s:i,s:b,s:i,s:i,s:i,s:i,s:f,s:f}",
+                     "name", name, "kind", name, "pool", "pool", "priority", 1,
+                     "finish", finish, "enough_percent", 100, "idempotent",
+                     idempotent, "default_deadline_ms", 5000,
+                     "max_deadline_ms", 20000, "caller_share_percent", 100,
+                     "objective_latency_ms", 50, "objective_latency_target",
+                     0.99, "objective_coverage_target", 0.99);
+}
+
+/* Returns the rows of the servers. */
+static json_t *
+make_servers(const TestCluster *cluster)
+{
+    json_t *servers = json_array();
+    uint32_t i;
+
+    for (i = 0; i < cluster->groups * cluster->replicas; i++) {
+        char name[32], address[32], data_centre[16], group[32];
+
+        snprintf(name, sizeof(name), "pool-%02u-%u", i / cluster->replicas,
+                 i % cluster->replicas);
+        snprintf(address, sizeof(address), "127.0.0.1:%u",
+                 cluster->backend_port + i);
+        snprintf(data_centre, sizeof(data_centre), "dc%u",
+                 i % cluster->replicas % 3);
+        snprintf(group, sizeof(group), "group-%u", i / cluster->replicas);
+        json_array_append_new(servers,
+                              json_pack("{s:s,s:s,s:s,s:s}", "name", name,
+                                        "address", address, "data_centre",
+                                        data_centre, "group", group));
+    }
+    return servers;
+}
+
+/* Makes the first edit of the tables. */
+static void
+make_tables(TestCluster *cluster)
+{
+    json_t *edit = json_pack(
+        "{s:s,s:s,s:i,s:s,s:[o,o,o],s:[{s:s,s:i,s:i,s:i,s:s,s:f,s:i,s:i,s:i,"
+        "s:o}]}",
+        "edit_id", "edit-1", "operator", "test", "based_on", 0, "summary",
+        "first tables", "set_routes", make_route("search", "all", true),
+        make_route("book", "single", false), make_route("one", "single", true),
+        "set_pools", "name", "pool", "slots", 5, "connections", 40,
+        "connect_ms", 1, "hedge", "quantile", "hedge_quantile", 0.95,
+        "hedge_delay_ms", 5, "extra_load_percent", 5, "queue_limit", 1000,
+        "servers", make_servers(cluster));
+    char *text = json_dumps(edit, JSON_COMPACT);
+    TestAnswer answer = TestHttp_Send(cluster->daemons[0].operator_port,
+                                      "/v1/tables", TEST_TOKEN, text);
+
+    assert_string_equal(TestAnswer_Text(&answer, "result"), "accepted");
+    TestAnswer_Release(&answer);
+    free(text);
+    json_decref(edit);
+}
+
+/* Waits until a daemon answers a search completely. */
+void
+TestCluster_WaitServing(TestCluster *cluster, uint32_t index)
+{
+    int64_t end_ms = TestClock_WallMs() + SERVING_LIMIT_MS;
+
+    for (;;) {
+        TestAnswer answer = TestCluster_Query(
+            cluster, index,
+            "{\"request_id\":\"wait\",\"kind\":\"search\",\"payload\":{}}");
+        bool complete =
+            strcmp(TestAnswer_Text(&answer, "status"), "complete") == 0;
+
+        TestAnswer_Release(&answer);
+        if (complete) {
+            return;
+        }
+        assert_true(TestClock_WallMs() < end_ms);
+        TestClock_SleepMs(POLL_MS);
+    }
+}
+
+/* Starts a cluster. */
+void
+TestCluster_Start(TestCluster *cluster, uint32_t daemon_count, uint32_t groups,
+                  uint32_t replicas)
+{
+    uint32_t i;
+
+    memset(cluster, 0, sizeof(*cluster));
+    snprintf(cluster->directory, sizeof(cluster->directory),
+             "/tmp/hickory-test.XXXXXX");
+    assert_non_null(mkdtemp(cluster->directory));
+    cluster->groups = groups;
+    cluster->replicas = replicas;
+    cluster->daemon_count = daemon_count;
+    start_services(cluster);
+    for (i = 0; i < daemon_count; i++) {
+        cluster->daemons[i].caller_port = free_port();
+        cluster->daemons[i].operator_port = free_port();
+        cluster->daemons[i].peer_port = free_port();
+    }
+    for (i = 0; i < daemon_count; i++) {
+        TestCluster_StartDaemon(cluster, i);
+    }
+    for (i = 0; i < daemon_count; i++) {
+        wait_for_path(cluster->daemons[i].caller_port, "/healthz");
+    }
+    make_tables(cluster);
+    for (i = 0; i < daemon_count; i++) {
+        TestCluster_WaitServing(cluster, i);
+    }
+}
+
+/* Sends a signal to a daemon and waits for its end. */
+int
+TestCluster_EndDaemon(TestCluster *cluster, uint32_t index, int number)
+{
+    pid_t pid = cluster->daemons[index].pid;
+
+    cluster->daemons[index].pid = 0;
+    kill(pid, number);
+    return TestProcess_Wait(pid);
+}
+
+/* Prints a log file, for a test that fails. */
+static void
+print_log(const char *directory, const char *name)
+{
+    char path[512], line[1024];
+    FILE *file;
+
+    snprintf(path, sizeof(path), "%s/%s", directory, name);
+    file = fopen(path, "r");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        print_message("%s: %s", name, line);
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+}
+
+/* Removes the directory with its files; prints the daemons' logs first if
+ * show is set. */
+static void
+remove_directory(const char *directory, bool show)
+{
+    DIR *dir = opendir(directory);
+    struct dirent *entry;
+    char path[512];
+
+    while (dir != NULL && (entry = readdir(dir)) != NULL) {
+        if (entry->d_name[0] == '.') {
+            continue;
+        }
+        if (show && strncmp(entry->d_name, "daemon", 6) == 0) {
+            print_log(directory, entry->d_name);
+        }
+        snprintf(path, sizeof(path), "%s/%s", directory, entry->d_name);
+        unlink(path);
+    }
+    if (dir != NULL) {
+        closedir(dir);
+    }
+    rmdir(directory);
+}
+
+/* Stops every process and removes the directory. */
+void
+TestCluster_Stop(TestCluster *cluster)
+{
+    bool clean = true;
+    uint32_t i;
+
+    for (i = 0; i < cluster->daemon_count; i++) {
+        if (cluster->daemons[i].pid != 0) {
+            kill(cluster->daemons[i].pid, SIGTERM);
+        }
+    }
+    for (i = 0; i < cluster->daemon_count; i++) {
+        if (cluster->daemons[i].pid != 0) {
+            clean = TestProcess_Wait(cluster->daemons[i].pid) == 0 && clean;
+        }
+    }
+    kill(cluster->platform_pid, SIGTERM);
+    kill(cluster->backend_pid, SIGTERM);
+    TestProcess_Wait(cluster->platform_pid);
+    TestProcess_Wait(cluster->backend_pid);
+    remove_directory(cluster->directory, !clean);
+    assert_true(clean);
+}
--- /dev/null
+++ b/tests/test-process-path.c
@@ -0,0 +1,336 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include <cmocka.h>
+
+#include "common-process.h"
+
+#define CALLERS 8
+#define BOOKINGS 20
+
+/* Asserts that a search is complete and names every shard once. */
+static void
+assert_complete(const TestAnswer *answer, uint32_t groups)
+{
+    const json_t *parts = json_object_get(answer->json, "parts");
+    const json_t *part;
+    size_t i, j;
+
+    assert_string_equal(TestAnswer_Text(answer, "status"), "complete");
+    assert_int_equal(json_array_size(parts), groups);
+    json_array_foreach(parts, i, part)
+    {
+        const char *shard = json_string_value(json_object_get(part, "shard"));
+        const json_t *payload = json_object_get(part, "payload");
+
+        assert_string_equal(
+            shard, json_string_value(json_object_get(payload, "shard")));
+        assert_int_equal(
+            json_integer_value(json_object_get(answer->json, "version")),
+            json_integer_value(json_object_get(payload, "version")));
+        for (j = 0; j < i; j++) {
+            assert_string_not_equal(shard,
+                                    json_string_value(json_object_get(
+                                        json_array_get(parts, j), "shard")));
+        }
+    }
+}
+
+/* Guards against a path that loses, repeats or mixes up shards, whichever
+ * daemon takes the query. */
+static void
+test_search_through_each_daemon(void **state)
+{
+    TestCluster cluster;
+    uint32_t i;
+
+    (void)state;
+    TestCluster_Start(&cluster, 3, 4, 2);
+    for (i = 0; i < 60; i++) {
+        TestAnswer answer = TestCluster_Query(
+            &cluster, i % 3,
+            "{\"request_id\":\"r\",\"kind\":\"search\",\"payload\":{}}");
+
+        assert_complete(&answer, 4);
+        TestAnswer_Release(&answer);
+    }
+    TestCluster_Stop(&cluster);
+}
+
+/* One copy of a booking. */
+typedef struct Copy {
+    const TestCluster *cluster;
+    uint32_t index;
+    char body[256];
+    char status[16];
+} Copy;
+
+/* Sends a copy. */
+static void *
+send_copy(void *arg)
+{
+    Copy *copy = arg;
+    TestAnswer answer =
+        TestCluster_Query(copy->cluster, copy->index, copy->body);
+
+    snprintf(copy->status, sizeof(copy->status), "%s",
+             TestAnswer_Text(&answer, "status"));
+    TestAnswer_Release(&answer);
+    return NULL;
+}
+
+/* Returns how often a request id ran on the backend servers. */
+static json_int_t
+count_runs(const TestCluster *cluster, const char *request_id)
+{
+    TestAnswer answer =
+        TestHttp_Send(cluster->backend_port, "/control", NULL, NULL);
+    json_int_t runs = json_integer_value(
+        json_object_get(json_object_get(answer.json, "runs"), request_id));
+
+    TestAnswer_Release(&answer);
+    return runs;
+}
+
+/* Guards against a non-idempotent request that runs twice when its copies
+ * arrive at several daemons at once. */
+static void
+test_booking_runs_once(void **state)
+{
+    TestCluster cluster;
+    uint32_t i, j;
+
+    (void)state;
+    TestCluster_Start(&cluster, 3, 2, 2);
+    for (i = 0; i < BOOKINGS; i++) {
+        Copy copies[3];
+        pthread_t threads[3];
+        char id[32];
+        int done = 0;
+
+        snprintf(id, sizeof(id), "booking-%u", i);
+        for (j = 0; j < 3; j++) {
+            copies[j].cluster = &cluster;
+            copies[j].index = j;
+            snprintf(
+                copies[j].body, sizeof(copies[j].body),
+                "{\"request_id\":\"%s\",\"kind\":\"book\",\"key\":\"%s\","
+                "\"payload\":{\"request_id\":\"%s\"},\"expires_ms\":%lld}",
+                id, id, id, (long long)TestClock_WallMs() + 60000);
+            assert_int_equal(
+                pthread_create(&threads[j], NULL, send_copy, &copies[j]), 0);
+        }
+        for (j = 0; j < 3; j++) {
+            pthread_join(threads[j], NULL);
+            done += strcmp(copies[j].status, "done") == 0;
+        }
+        assert_int_equal(done, 3);
+        assert_int_equal(count_runs(&cluster, id), 1);
+    }
+    TestCluster_Stop(&cluster);
+}
+
+/* A caller that sends searches until it is told to stop. */
+typedef struct Caller {
+    const TestCluster *cluster;
+    uint32_t index;
+    volatile bool *stop;
+    uint32_t complete;
+    uint32_t refused;
+    uint32_t other;
+} Caller;
+
+/* Sends searches; after a refusal or a closed listener it changes over to the
+ * next daemon, as callers do. */
+static void *
+run_caller(void *arg)
+{
+    Caller *caller = arg;
+
+    while (!__atomic_load_n(caller->stop, __ATOMIC_RELAXED)) {
+        TestAnswer answer = TestCluster_Query(
+            caller->cluster, caller->index,
+            "{\"request_id\":\"r\",\"kind\":\"search\",\"payload\":{}}");
+        const char *status = TestAnswer_Text(&answer, "status");
+
+        if (strcmp(status, "complete") == 0) {
+            caller->complete++;
+        }
+        else if (answer.status == 0 ||
+                 (strcmp(status, "refused") == 0 &&
+                  json_is_true(json_object_get(answer.json, "not_run")))) {
+            caller->refused++;
+            caller->index = (caller->index + 1) % 3;
+        }
+        else {
+            caller->other++;
+        }
+        TestAnswer_Release(&answer);
+    }
+    return NULL;
+}
+
+/* Guards against a graceful shutdown that interrupts or drops a request: every
+ * search is answered completely or refused as not run, whether it enters at
+ * the daemon that leaves or is scheduled by it. */
+static void
+test_graceful_shutdown(void **state)
+{
+    TestCluster cluster;
+    Caller callers[CALLERS];
+    pthread_t threads[CALLERS];
+    bool stop = false;
+    uint32_t i, complete = 0;
+
+    (void)state;
+    TestCluster_Start(&cluster, 3, 4, 2);
+    memset(callers, 0, sizeof(callers));
+    for (i = 0; i < CALLERS; i++) {
+        callers[i].cluster = &cluster;
+        callers[i].index = i % 3;
+        callers[i].stop = &stop;
+        assert_int_equal(
+            pthread_create(&threads[i], NULL, run_caller, &callers[i]), 0);
+    }
+    TestClock_SleepMs(500);
+    assert_int_equal(TestCluster_EndDaemon(&cluster, 1, SIGTERM), 0);
+    TestClock_SleepMs(500);
+    __atomic_store_n(&stop, true, __ATOMIC_RELAXED);
+    for (i = 0; i < CALLERS; i++) {
+        pthread_join(threads[i], NULL);
+        assert_int_equal(callers[i].other, 0);
+        complete += callers[i].complete;
+    }
+    assert_true(complete > 0);
+    print_message("%u searches complete\n", complete);
+    TestCluster_Stop(&cluster);
+}
+
+/* Guards against a cluster that does not recover from the loss of a daemon,
+ * or whose place a restarted one cannot take. */
+static void
+test_loss_and_restart(void **state)
+{
+    TestCluster cluster;
+    int status;
+
+    (void)state;
+    TestCluster_Start(&cluster, 3, 4, 2);
+    status = TestCluster_EndDaemon(&cluster, 1, SIGKILL);
+    assert_true(WIFSIGNALED(status));
+    TestCluster_WaitServing(&cluster, 0);
+    TestCluster_WaitServing(&cluster, 2);
+    TestCluster_StartDaemon(&cluster, 1);
+    TestCluster_WaitServing(&cluster, 1);
+    TestCluster_Stop(&cluster);
+}
+
+/* Guards against queries that fail, or edits that are reported as made, while
+ * the store is down. */
+static void
+test_store_outage(void **state)
+{
+    TestCluster cluster;
+    TestAnswer answer;
+
+    (void)state;
+    TestCluster_Start(&cluster, 2, 2, 2);
+    answer =
+        TestHttp_Send(cluster.platform_port, "/control?outage=1", NULL, "");
+    TestAnswer_Release(&answer);
+    answer = TestCluster_Query(
+        &cluster, 0,
+        "{\"request_id\":\"r\",\"kind\":\"search\",\"payload\":{}}");
+    assert_complete(&answer, 2);
+    TestAnswer_Release(&answer);
+    answer = TestHttp_Send(
+        cluster.daemons[0].operator_port, "/v1/tables", TEST_TOKEN,
+        "{\"edit_id\":\"e2\",\"operator\":\"test\",\"based_on\":1,"
+        "\"summary\":\"x\",\"delete_routes\":[\"one\"]}");
+    assert_string_not_equal(TestAnswer_Text(&answer, "result"), "accepted");
+    TestAnswer_Release(&answer);
+    TestCluster_Stop(&cluster);
+}
+
+/* Guards against an operator listener that answers without the token, and
+ * against an endpoint that is missing. */
+static void
+test_operator_endpoints(void **state)
+{
+    static const char *const paths[] = {
+        "/v1/tables",      "/v1/status",
+        "/v1/members",     "/v1/servers",
+        "/v1/connections", "/v1/queues",
+        "/v1/claims",      "/v1/config",
+        "/v1/burn",        "/v1/explain?kind=search&key=x"};
+    TestCluster cluster;
+    TestAnswer answer;
+    size_t i;
+
+    (void)state;
+    TestCluster_Start(&cluster, 1, 2, 2);
+    for (i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+        answer = TestHttp_Send(cluster.daemons[0].operator_port, paths[i],
+                               "wrong-token-0000", NULL);
+        assert_int_equal(answer.status, 401);
+        TestAnswer_Release(&answer);
+        answer = TestHttp_Send(cluster.daemons[0].operator_port, paths[i],
+                               TEST_TOKEN, NULL);
+        assert_int_equal(answer.status, 200);
+        assert_true(json_is_object(answer.json));
+        TestAnswer_Release(&answer);
+    }
+    answer =
+        TestHttp_Send(cluster.daemons[0].caller_port, "/readyz", NULL, NULL);
+    assert_int_equal(answer.status, 200);
+    assert_true(json_is_true(json_object_get(answer.json, "ready")));
+    TestAnswer_Release(&answer);
+    answer = TestHttp_Send(cluster.daemons[0].caller_port, "/v1/entries", NULL,
+                           NULL);
+    assert_int_equal(json_array_size(json_object_get(answer.json, "entries")),
+                     1);
+    TestAnswer_Release(&answer);
+    answer = TestCluster_Query(&cluster, 0, "{\"kind\":7}");
+    assert_int_equal(answer.status, 400);
+    TestAnswer_Release(&answer);
+    TestCluster_Stop(&cluster);
+}
+
+/* Guards against a check of settings that accepts a bad file or refuses the
+ * example. */
+static void
+test_check_settings(void **state)
+{
+    char *good[] = {"hickoryrouterd", "--check-settings",
+                    "examples/settings.json", NULL};
+    char *bad[] = {"hickoryrouterd", "--check-settings", "Makefile", NULL};
+
+    (void)state;
+    assert_int_equal(TestProcess_Wait(TestProcess_Start("/dev", "null", good)),
+                     0);
+    assert_int_not_equal(
+        TestProcess_Wait(TestProcess_Start("/dev", "null", bad)), 0);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_check_settings),
+        cmocka_unit_test(test_operator_endpoints),
+        cmocka_unit_test(test_search_through_each_daemon),
+        cmocka_unit_test(test_booking_runs_once),
+        cmocka_unit_test(test_graceful_shutdown),
+        cmocka_unit_test(test_loss_and_restart),
+        cmocka_unit_test(test_store_outage),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
