--- a/src/coord-claim-holder.c
+++ b/src/coord-claim-holder.c
@@ -59,7 +59,7 @@
     uint64_t owners[HR_CLAIM_PARTITIONS];
     struct SequenceTree by_sequence;
     struct DueTree by_due;
-    STAILQ_HEAD(, HolderAction) actions;
+    STAILQ_HEAD(HolderQueue, HolderAction) actions;
     HrClaimHolderAction unsent; /* written instead of one without memory */
 };
 
--- a/src/coord-claim-partition.h
+++ b/src/coord-claim-partition.h
@@ -63,7 +63,7 @@
     int64_t wake_ns;       /* no partition needs a timer before */
     HrClaimMessage unsent; /* written instead of one without memory */
     HrClaimPartition partitions[HR_CLAIM_PARTITIONS];
-    STAILQ_HEAD(, HrClaimQueued) actions;
+    STAILQ_HEAD(HrClaimQueue, HrClaimQueued) actions;
 };
 
 /* Returns an empty queued action; NULL when memory is short. */
--- a/src/coord-member-table.h
+++ b/src/coord-member-table.h
@@ -94,7 +94,7 @@
     HrMemberProbe probe;
     HrMemberRelay relays[HR_MEMBER_RELAYS];
     uint32_t relay_next;
-    STAILQ_HEAD(, HrMemberQueued) actions;
+    STAILQ_HEAD(HrMemberQueue, HrMemberQueued) actions;
     HrMemberQueued *popped;
 };
 
--- a/src/coord-member.c
+++ b/src/coord-member.c
@@ -205,6 +205,16 @@
     config->vm_list_lag_ns = 60 * HR_NS_PER_S;
 }
 
+/* Frees the hash tables, which are not allocated with talloc. */
+static int
+destroy_membership(HrMembership *membership)
+{
+    HASH_CLEAR(by_address, membership->addresses);
+    HASH_CLEAR(by_id, membership->nodes);
+    HASH_CLEAR(hh, membership->seeds);
+    return 0;
+}
+
 /* Creates the membership of one daemon, which knows only itself. */
 HrMembership *
 HrMembership_Create(const void *parent, const HrMemberConfig *config,
@@ -225,6 +235,7 @@
     STAILQ_INIT(&membership->actions);
     HrMembership_AbandonProbe(membership);
     HrMemberTable_Init(membership);
+    talloc_set_destructor(membership, destroy_membership);
     return membership;
 }
 
