--- a/src/coord-claim-holder.c
+++ b/src/coord-claim-holder.c
@@ -490,7 +490,8 @@
         changed[i] = owner_id != holder->owners[i];
         holder->owners[i] = owner_id;
     }
-    RB_FOREACH (entry, SequenceTree, &holder->by_sequence) {
+    for (entry = RB_MIN(SequenceTree, &holder->by_sequence); entry != NULL;
+         entry = RB_NEXT(SequenceTree, &holder->by_sequence, entry)) {
         if (changed[entry->partition] && (entry->state == ENTRY_ASKING ||
                                           entry->state == ENTRY_RECORDING)) {
             entry->resend_at_ns = now_ns;
--- a/src/coord-claim-owner.c
+++ b/src/coord-claim-owner.c
@@ -37,7 +37,8 @@
     uint32_t changes = 0;
     HrClaimOp *op, *next;
 
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         HrClaimFinding finding;
 
         if (op->phase != HR_CLAIM_OP_PENDING) {
@@ -125,7 +126,8 @@
 {
     HrClaimOp *op, *next;
 
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         if (op->deadline_ns <= now_ns) {
             remove_op(owner, partition, op);
         }
@@ -143,7 +145,8 @@
 {
     HrClaimOp *op, *next;
 
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         HrClaimFinding finding =
             HrClaimOwner_Evaluate(owner, partition, op, wall_ms);
         int64_t refresh_at_ns =
@@ -236,7 +239,8 @@
 {
     HrClaimOp *op;
 
-    TAILQ_FOREACH (op, &partition->ops, link) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL;
+         op = TAILQ_NEXT(op, link)) {
         if (op->message.kind == kind &&
             HrClaimHolderId_Equals(&op->message.holder, &message->holder)) {
             return op;
@@ -342,7 +346,8 @@
 {
     HrClaimOp *op;
 
-    TAILQ_FOREACH (op, &partition->ops, link) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL;
+         op = TAILQ_NEXT(op, link)) {
         if (op->phase == HR_CLAIM_OP_IN_BATCH) {
             op->phase = HR_CLAIM_OP_PENDING;
             op->maybe_written = op->maybe_written || maybe_written;
@@ -382,7 +387,8 @@
     HrClaimOp *op, *next;
 
     HrCounters_Add(owner->config.counters, HR_COUNTER_claim_store_failures, 1);
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         if (op->phase != HR_CLAIM_OP_PENDING || op->maybe_written) {
             continue;
         }
--- a/src/coord-member-hint.c
+++ b/src/coord-member-hint.c
@@ -102,7 +102,8 @@
 {
     HrMemberSeed *seed, *next;
 
-    HASH_ITER (hh, membership->seeds, seed, next) {
+    for (seed = membership->seeds; seed != NULL; seed = next) {
+        next = seed->hh.next;
         HrMemberNode *node;
 
         if (!seed->listed || seed->list_number == membership->list_number) {
@@ -161,17 +162,17 @@
 {
     const char *address = NULL;
     uint64_t count = 0;
-    HrMemberSeed *seed, *next_seed;
-    HrMemberNode *dead, *next_dead;
+    HrMemberSeed *seed;
+    HrMemberNode *dead;
 
     *node = NULL;
-    HASH_ITER (hh, membership->seeds, seed, next_seed) {
+    for (seed = membership->seeds; seed != NULL; seed = seed->hh.next) {
         if (is_outside(membership, seed) &&
             HrRng_Below(&membership->rng, ++count) == 0) {
             address = seed->address;
         }
     }
-    HASH_ITER (by_id, membership->nodes, dead, next_dead) {
+    for (dead = membership->nodes; dead != NULL; dead = dead->by_id.next) {
         if (dead->record.state == HR_MEMBER_DEAD &&
             HrRng_Below(&membership->rng, ++count) == 0) {
             address = dead->record.peer_address;
--- a/src/coord-member-probe.c
+++ b/src/coord-member-probe.c
@@ -162,11 +162,11 @@
 static void
 begin_round(HrMembership *membership)
 {
-    HrMemberNode *node, *next;
+    HrMemberNode *node;
 
     membership->round_count = 0;
     membership->round_next = 0;
-    HASH_ITER (by_id, membership->nodes, node, next) {
+    for (node = membership->nodes; node != NULL; node = node->by_id.next) {
         HrMembership_AddToRound(membership, node->record.daemon_id);
     }
 }
--- a/src/coord-member-table.c
+++ b/src/coord-member-table.c
@@ -369,7 +369,8 @@
 {
     HrMemberNode *node;
 
-    RB_FOREACH (node, HrMemberTimed, &membership->timed) {
+    for (node = RB_MIN(HrMemberTimed, &membership->timed); node != NULL;
+         node = RB_NEXT(HrMemberTimed, &membership->timed, node)) {
         node->deadline_ns += delta_ns;
     }
 }
@@ -396,7 +397,8 @@
         updates[count++] = about->record;
     }
     for (sends = 0; sends < limit; sends++) {
-        TAILQ_FOREACH (node, &membership->updates[sends], update) {
+        for (node = TAILQ_FIRST(&membership->updates[sends]); node != NULL;
+             node = TAILQ_NEXT(node, update)) {
             if (count == HR_MEMBER_UPDATES) {
                 break;
             }
--- a/src/coord-member.c
+++ b/src/coord-member.c
@@ -89,10 +89,10 @@
 handle_list_request(HrMembership *membership, const HrMemberMessage *request)
 {
     HrMember records[HR_MEMBER_PAGE];
-    HrMemberNode *node, *next;
+    HrMemberNode *node;
     uint32_t count = 0;
 
-    HASH_ITER (by_id, membership->nodes, node, next) {
+    for (node = membership->nodes; node != NULL; node = node->by_id.next) {
         records[count++] = node->record;
         if (count == HR_MEMBER_PAGE) {
             send_page(membership, request, records, count);
@@ -325,7 +325,7 @@
 HrMembership_View(HrMembership *membership, const void *parent)
 {
     HrMemberView *view = talloc_zero(parent, HrMemberView);
-    HrMemberNode *node, *next;
+    HrMemberNode *node;
 
     if (view == NULL) {
         return NULL;
@@ -338,7 +338,7 @@
         return NULL;
     }
     view->members[view->member_count++] = membership->self;
-    HASH_ITER (by_id, membership->nodes, node, next) {
+    for (node = membership->nodes; node != NULL; node = node->by_id.next) {
         if (node->record.state != HR_MEMBER_DEAD) {
             view->members[view->member_count++] = node->record;
         }
