--- a/src/coord-member-table.c
+++ b/src/coord-member-table.c
@@ -209,7 +209,8 @@
  * that it is in use by it; otherwise either may be the older one, and a
  * suspicion is refuted by the one that is there. */
 static void
-resolve_address(HrMembership *membership, const HrMember *record, bool direct)
+resolve_address(HrMembership *membership, const HrMember *record,
+                HrMemberSource source)
 {
     HrMemberNode *former =
         HrMemberTable_FindAddress(membership, record->peer_address);
@@ -218,7 +219,7 @@
         record->state == HR_MEMBER_DEAD) {
         return;
     }
-    if (direct) {
+    if (source == HR_MEMBER_SOURCE_ITSELF) {
         HrMemberTable_SetState(membership, former, HR_MEMBER_DEAD);
     }
     else if (former->record.state == HR_MEMBER_ALIVE) {
@@ -302,10 +303,10 @@
     return node;
 }
 
-/* Merges a record; direct: the member itself has sent it. */
+/* Merges a record. */
 void
 HrMemberTable_Merge(HrMembership *membership, const HrMember *record,
-                    bool direct)
+                    HrMemberSource source)
 {
     HrMemberNode *node;
 
@@ -320,7 +321,8 @@
     }
     node = HrMemberTable_Find(membership, record->daemon_id);
     if (node != NULL && !is_news(&node->record, record)) {
-        if (record->incarnation == node->record.incarnation && direct) {
+        if (record->incarnation == node->record.incarnation &&
+            source != HR_MEMBER_SOURCE_UPDATE) {
             node->record.spare_percent = record->spare_percent;
         }
         return;
@@ -329,8 +331,11 @@
         node = add_node(membership, record);
     }
     if (node != NULL) {
-        resolve_address(membership, record, direct);
+        resolve_address(membership, record, source);
         replace_record(membership, node, record);
+        if (source == HR_MEMBER_SOURCE_LIST) {
+            queue_update(membership, node, HR_MEMBER_SENDS_MAX);
+        }
     }
 }
 
--- a/src/coord-member-table.h
+++ b/src/coord-member-table.h
@@ -32,6 +32,14 @@
     uint32_t sends; /* HR_MEMBER_SENDS_MAX: nothing to pass on */
 } HrMemberNode;
 
+/* Where a record comes from. */
+typedef enum HrMemberSource {
+    HR_MEMBER_SOURCE_ITSELF, /* the member has sent it */
+    HR_MEMBER_SOURCE_UPDATE, /* passed on by another member */
+    HR_MEMBER_SOURCE_LIST,   /* part of a full list: not passed on, since
+                                thousands would hold up what is new */
+} HrMemberSource;
+
 TAILQ_HEAD(HrMemberUpdates, HrMemberNode);
 RB_HEAD(HrMemberTimed, HrMemberNode);
 
@@ -110,9 +118,9 @@
 HrMemberNode *HrMemberTable_FindAddress(HrMembership *membership,
                                         const char *address);
 
-/* Merges a record; direct: the member itself has sent it. */
+/* Merges a record. */
 void HrMemberTable_Merge(HrMembership *membership, const HrMember *record,
-                         bool direct);
+                         HrMemberSource source);
 
 /* Moves a node to a state at its present incarnation. */
 void HrMemberTable_SetState(HrMembership *membership, HrMemberNode *node,
--- a/src/coord-member.c
+++ b/src/coord-member.c
@@ -113,11 +113,14 @@
         HrMemberTable_Find(membership, message->sender.daemon_id);
     bool rejoined = membership->live_count == 0 ||
                     (node != NULL && node->record.state == HR_MEMBER_DEAD);
+    HrMemberSource source = message->kind == HR_MEMBER_MESSAGE_LIST
+                                ? HR_MEMBER_SOURCE_LIST
+                                : HR_MEMBER_SOURCE_UPDATE;
     uint32_t i;
 
-    HrMemberTable_Merge(membership, &message->sender, true);
+    HrMemberTable_Merge(membership, &message->sender, HR_MEMBER_SOURCE_ITSELF);
     for (i = 0; i < message->update_count && i < HR_MEMBER_PAGE; i++) {
-        HrMemberTable_Merge(membership, &message->updates[i], false);
+        HrMemberTable_Merge(membership, &message->updates[i], source);
     }
     return rejoined;
 }
