--- a/tools/fake-backend.c
+++ b/tools/fake-backend.c
@@ -7,6 +7,7 @@
  * even version its key range is split in two shards.
  * POST /control?KEY=VALUE on a server's port changes that server. */
 #include <argtable2.h>
+#include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <pthread.h>
@@ -690,6 +691,23 @@
     parse_versions(server, versions);
 }
 
+/* Prints what GET /control of a running server reports. */
+static int
+print_runs(int port)
+{
+    CURL *curl = curl_easy_init();
+    char url[64];
+    CURLcode code = CURLE_FAILED_INIT;
+
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d/control", port);
+    if (curl != NULL) {
+        curl_easy_setopt(curl, CURLOPT_URL, url);
+        code = curl_easy_perform(curl);
+    }
+    curl_easy_cleanup(curl);
+    return code == CURLE_OK ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
 /* Runs the simulated servers until SIGTERM. */
 int
 main(int argc, char **argv)
@@ -710,9 +728,11 @@
         arg_str0(NULL, "versions", "LIST", "index versions (default 7)");
     struct arg_int *seed =
         arg_int0(NULL, "seed", "N", "seed of service times (default 1)");
+    struct arg_lit *read_runs =
+        arg_lit0(NULL, "read-runs", "print the runs of a running server");
     struct arg_end *end = arg_end(5);
-    void *table[] = {name,        port,    groups,   replicas, slots,
-                     connections, service, versions, seed,     end};
+    void *table[] = {name,    port,     groups, replicas,  slots, connections,
+                     service, versions, seed,   read_runs, end};
     static Pool pool;
     Server *servers;
     uint32_t i, count;
@@ -728,6 +748,9 @@
         arg_print_syntax(stderr, table, "\n");
         return EXIT_FAILURE;
     }
+    if (read_runs->count > 0) {
+        return print_runs(port->ival[0]);
+    }
     pool.name = name->sval[0];
     pool.groups = (uint32_t)groups->ival[0];
     pool.replicas = (uint32_t)replicas->ival[0];
