--- a/src/daemon-pending.c
+++ b/src/daemon-pending.c
@@ -18,11 +18,13 @@
     HrPendingSub sub;
 } Entry;
 
+TAILQ_HEAD(EntryList, Entry);
+
 /* The sub-requests of one link, oldest first. */
 typedef struct Link {
     UT_hash_handle hh;
     uint64_t number;
-    TAILQ_HEAD(, Entry) entries;
+    struct EntryList entries;
 } Link;
 
 struct HrPending {
@@ -163,7 +165,8 @@
     if (link == NULL) {
         return false;
     }
-    TAILQ_FOREACH (entry, &link->entries, of_link) {
+    for (entry = TAILQ_FIRST(&link->entries); entry != NULL;
+         entry = TAILQ_NEXT(entry, of_link)) {
         if (tag == 0 || entry->sub.tag == tag) {
             remove_entry(pending, entry, sub);
             return true;
--- a/src/daemon-sched-group.c
+++ b/src/daemon-sched-group.c
@@ -241,7 +241,8 @@
 {
     HrSchedOwed *owed, *next;
 
-    HASH_ITER (hh, group->owed, owed, next) {
+    for (owed = group->owed; owed != NULL; owed = next) {
+        next = owed->hh.next;
         if (owed->origin.link == link) {
             HrSchedEvent event = {.kind = HR_SCHED_CANCEL};
 
--- a/src/daemon-sched.c
+++ b/src/daemon-sched.c
@@ -85,7 +85,8 @@
 {
     HrSchedGroup *group, *next;
 
-    HASH_ITER (hh, state->groups, group, next) {
+    for (group = state->groups; group != NULL; group = next) {
+        next = group->hh.next;
         if (HrPlacement_Find(state->placement, group->pool, group->name) ==
             NULL) {
             HrSchedGroup_SetRank(group, NULL, view);
@@ -99,7 +100,8 @@
 {
     HrSchedGroup *group, *next;
 
-    HASH_ITER (hh, state->groups, group, next) {
+    for (group = state->groups; group != NULL; group = next) {
+        next = group->hh.next;
         if (HrSchedGroup_IsIdle(group)) {
             HASH_DELETE(hh, state->groups, group);
             talloc_free(group);
@@ -181,7 +183,8 @@
 {
     HrSchedGroup *group, *next;
 
-    HASH_ITER (hh, state->groups, group, next) {
+    for (group = state->groups; group != NULL; group = next) {
+        next = group->hh.next;
         HrSchedGroup_CancelLink(group, link);
     }
 }
@@ -204,7 +207,8 @@
 {
     HrSchedGroup *group, *next;
 
-    HASH_ITER (hh, state->groups, group, next) {
+    for (group = state->groups; group != NULL; group = next) {
+        next = group->hh.next;
         HrSchedGroup_SendHandover(group, true);
     }
     HrTask_Post(state->task, state->task->daemon->control,
--- a/src/proto-peer-decode.c
+++ b/src/proto-peer-decode.c
@@ -6,9 +6,9 @@
 
 /* Empty sub-messages take 2 bytes on the wire and many in memory, so the
  * memory of one decoded frame is limited to this multiple of its length. */
-#define MEMORY_FACTOR 64
-#define MEMORY_EXTRA_BYTES (64u * 1024)
-#define MEMORY_MAX_BYTES (64u * 1024 * 1024)
+#define MEMORY_FACTOR ((size_t)64)
+#define MEMORY_EXTRA_BYTES ((size_t)64 * 1024)
+#define MEMORY_MAX_BYTES ((size_t)64 * 1024 * 1024)
 #define PRIORITY_MAX 7
 #define TEXT_MAX_BYTES 255
 #define ENTRIES_MAX (1u << 20)
--- a/src/state-settings.c
+++ b/src/state-settings.c
@@ -10,10 +10,11 @@
 
 #include "state-address.h"
 
-#define SETTINGS_FILE_MAX_BYTES (1024 * 1024)
+#define SETTINGS_FILE_MAX_BYTES ((size_t)1024 * 1024)
 #define NAME_MAX_BYTES 63
 #define TOKEN_MIN_BYTES 16
 #define SEEDS_MAX 64
+#define KEY_DIGITS ((size_t)2 * HR_PEER_KEY_BYTES)
 
 typedef enum FieldType {
     FIELD_NAME,    /* letters, digits, '-', '_' and '.' */
@@ -223,14 +224,14 @@
     const char *text = json_string_value(value);
     size_t i;
 
-    if (text == NULL || strlen(text) != 2 * HR_PEER_KEY_BYTES ||
-        strspn(text, "0123456789abcdef") != 2 * HR_PEER_KEY_BYTES) {
+    if (text == NULL || strlen(text) != KEY_DIGITS ||
+        strspn(text, "0123456789abcdef") != KEY_DIGITS) {
         return report_field(parse, HR_ERR_INVALID, spec, value,
                             "write 64 lower-case hexadecimal digits");
     }
     for (i = 0; i < HR_PEER_KEY_BYTES; i++) {
-        parse->settings->peer_key[i] = (uint8_t)(hex_digit(text[2 * i]) * 16 +
-                                                 hex_digit(text[2 * i + 1]));
+        parse->settings->peer_key[i] = (uint8_t)(hex_digit(text[i * 2]) * 16 +
+                                                 hex_digit(text[i * 2 + 1]));
     }
     return HR_OK;
 }
@@ -476,7 +477,7 @@
     fclose(file);
     if (length > SETTINGS_FILE_MAX_BYTES) {
         HrError_Set(err, HR_ERR_TOO_LARGE,
-                    "%s: the file is larger than %d bytes: shorten it", path,
+                    "%s: the file is larger than %zu bytes: shorten it", path,
                     SETTINGS_FILE_MAX_BYTES);
     }
     else if (text != NULL) {
--- a/src/trans-http-server.c
+++ b/src/trans-http-server.c
@@ -102,7 +102,8 @@
         (int64_t)server->config.request_timeout_ms * HR_NS_PER_MS;
     Connection *connection;
 
-    TAILQ_FOREACH (connection, &server->connections, entry) {
+    for (connection = TAILQ_FIRST(&server->connections); connection != NULL;
+         connection = TAILQ_NEXT(connection, entry)) {
         if (connection->waiting_since_ns != HR_TIME_NEVER &&
             now_ns - connection->waiting_since_ns >= limit_ns) {
             connection->waiting_since_ns = HR_TIME_NEVER;
@@ -329,7 +330,8 @@
     HrBytes body = {(const uint8_t *)text, sizeof(text) - 1};
     HrHttpExchange *exchange, *next;
 
-    HASH_ITER (hh, server->open, exchange, next) {
+    for (exchange = server->open; exchange != NULL; exchange = next) {
+        next = exchange->hh.next;
         HrHttpServer_Answer(server, exchange->number, 503, "application/json",
                             body);
     }
--- a/src/trans-loop.c
+++ b/src/trans-loop.c
@@ -169,7 +169,8 @@
         return;
     }
     loop->any_removed = false;
-    TAILQ_FOREACH_SAFE (watch, &loop->watches, entry, next) {
+    for (watch = TAILQ_FIRST(&loop->watches); watch != NULL; watch = next) {
+        next = TAILQ_NEXT(watch, entry);
         if (watch->removed) {
             TAILQ_REMOVE(&loop->watches, watch, entry);
             talloc_free(watch);
@@ -204,7 +205,8 @@
     HrLoopFd *watch;
 
     *count = 0;
-    TAILQ_FOREACH (watch, &loop->watches, entry) {
+    for (watch = TAILQ_FIRST(&loop->watches); watch != NULL;
+         watch = TAILQ_NEXT(watch, entry)) {
         struct pollfd *polled;
 
         if (reserve_polled(loop, *count) != HR_OK) {
--- a/src/trans-peer-handshake.c
+++ b/src/trans-peer-handshake.c
@@ -5,7 +5,7 @@
 
 /* Two nonces, two daemon ids, one role byte and a cluster name. */
 #define TRANSCRIPT_MAX_BYTES                                                  \
-    (2 * HR_PEER_NONCE_BYTES + 2 * sizeof(uint64_t) + 1 + 256)
+    (2 * (HR_PEER_NONCE_BYTES + sizeof(uint64_t)) + 1 + 256)
 
 /* Appends bytes to the transcript. */
 static size_t
--- a/src/trans-peer-link.c
+++ b/src/trans-peer-link.c
@@ -11,7 +11,7 @@
 #include "trans-peer-handshake.h"
 
 #define IOVEC_MAX 32
-#define READ_CHUNK_BYTES 65536
+#define READ_CHUNK_BYTES ((size_t)65536)
 /* Bytes read in one round of the loop, so that one busy link does not hold
  * up the others. */
 #define READ_ROUND_BYTES (4 * READ_CHUNK_BYTES)
@@ -149,7 +149,8 @@
     const HrPeerQueued *queued;
     int count = 0;
 
-    STAILQ_FOREACH (queued, queue, entry) {
+    for (queued = STAILQ_FIRST(queue); queued != NULL;
+         queued = STAILQ_NEXT(queued, entry)) {
         if (count == IOVEC_MAX) {
             break;
         }
--- a/src/trans-peer.c
+++ b/src/trans-peer.c
@@ -180,7 +180,8 @@
 {
     HrPeerLink *link, *next;
 
-    HASH_ITER (by_number, node->links, link, next) {
+    for (link = node->links; link != NULL; link = next) {
+        next = link->by_number.next;
         retire_link(node, link);
         HASH_DELETE(by_number, node->links, link);
         HrLoop_RemoveFd(node->loop, link->watch);
--- a/tests/test-peer-codec.c
+++ b/tests/test-peer-codec.c
@@ -190,7 +190,7 @@
 static void
 test_memory_is_bounded(void **state)
 {
-    const size_t length = 4 * 1024 * 1024;
+    const size_t length = 4194304;
     uint8_t *data = talloc_zero_array(NULL, uint8_t, length);
     HrBytes body = {data, length};
     size_t i;
--- a/tests/test-process-path.c
+++ b/tests/test-process-path.c
@@ -140,8 +140,8 @@
 /* A caller that sends searches until it is told to stop. */
 typedef struct Caller {
     const TestCluster *cluster;
-    uint32_t index;
     volatile bool *stop;
+    uint32_t index;
     uint32_t complete;
     uint32_t refused;
     uint32_t other;
