--- a/src/daemon-control-edit.c
+++ b/src/daemon-control-edit.c
@@ -60,9 +60,9 @@
                       outcome->already_made, "changes", changes);
     if (outcome->result != HR_EDIT_ACCEPTED) {
         json_object_set_new(value, "error",
-                            json_string(HrError_Name(outcome->error.kind)));
-        json_object_set_new(value, "message",
                             json_string(outcome->error.message));
+        json_object_set_new(value, "kind",
+                            json_string(HrError_Name(outcome->error.kind)));
     }
     HrControl_AnswerJson(edit->owner->control, edit->listener, edit->number,
                          http_status(outcome->result), value);
@@ -198,8 +198,8 @@
                          request->u.request.number, status,
                          json_pack("{s:s,s:I,s:s,s:s}", "result", "refused",
                                    "revision", (json_int_t)0, "error",
-                                   HrError_Name(err->kind), "message",
-                                   err->message));
+                                   err->message, "kind",
+                                   HrError_Name(err->kind)));
 }
 
 /* Creates the state of an edit; NULL when there is no room. */
--- a/src/daemon-control-report.c
+++ b/src/daemon-control-report.c
@@ -230,8 +230,9 @@
     if (collection == NULL) {
         HrControl_AnswerJson(reports->control, request->u.request.listener,
                              request->u.request.number, 503,
-                             json_pack("{s:s,s:s}", "error", "overloaded",
-                                       "remedy", "repeat the request later"));
+                             json_pack("{s:s}", "error",
+                                       "too many requests at "
+                                       "once: repeat it later"));
         return;
     }
     for (i = 0; burn && i < daemon->query_count; i++) {
--- a/src/daemon-control-request.c
+++ b/src/daemon-control-request.c
@@ -17,51 +17,6 @@
     return json_string(text);
 }
 
-/* Returns the stable lower-case name of a member's state. */
-static const char *
-state_name(HrMemberState state)
-{
-    switch (state) {
-    case HR_MEMBER_ALIVE:
-        return "alive";
-    case HR_MEMBER_SUSPECT:
-        return "suspect";
-    case HR_MEMBER_LEAVING:
-        return "leaving";
-    case HR_MEMBER_DEAD:
-        return "dead";
-    }
-    return "other";
-}
-
-/* Answers GET /v1/members. Members do not announce their operator address, so
- * only that of this daemon is known. */
-static json_t *
-describe_members(const HrControl *control)
-{
-    const HrDaemon *daemon = control->task->daemon;
-    const HrMemberView *view = HrSnapshots_Members(daemon->snapshots);
-    json_t *list = json_array();
-    uint32_t i;
-
-    for (i = 0; view != NULL && i < view->member_count; i++) {
-        const HrMember *member = &view->members[i];
-        bool self = member->daemon_id == daemon->daemon_id;
-
-        json_array_append_new(
-            list,
-            json_pack(
-                "{s:o,s:s,s:s,s:s,s:o,s:s,s:s,s:i}", "daemon_id",
-                id_text(member->daemon_id), "state", state_name(member->state),
-                "peer_address", member->peer_address, "caller_address",
-                member->caller_address, "operator_address",
-                self ? json_string(daemon->operator_address) : json_null(),
-                "data_centre", member->data_centre, "region", member->region,
-                "spare_percent", (int)member->spare_percent));
-    }
-    return json_pack("{s:o}", "members", list);
-}
-
 /* Answers GET /v1/entries. */
 static json_t *
 describe_entries(HrControl *control, const HrMessage *request)
@@ -206,7 +161,7 @@
     }
     HrControl_AnswerJson(
         control, request->u.request.listener, request->u.request.number, 404,
-        json_pack("{s:s,s:s}", "error", "not_found", "remedy",
+        json_pack("{s:s}", "error",
                   "name a kind that a route serves: ?kind=KIND&key=KEY"));
 }
 
@@ -217,9 +172,6 @@
     if (strcmp(path, "/v1/tables") == 0) {
         return describe_tables(control);
     }
-    if (strcmp(path, "/v1/members") == 0) {
-        return describe_members(control);
-    }
     if (strcmp(path, "/v1/status") == 0) {
         return describe_status(control);
     }
@@ -255,6 +207,10 @@
         answer_ready(control, request);
         return true;
     }
+    else if (strcmp(path, "/v1/members") == 0) {
+        HrControlContacts_AnswerMembers(control->contacts, request);
+        return true;
+    }
     else if (strcmp(path, "/v1/explain") == 0) {
         answer_explain(control, request);
         return true;
@@ -310,7 +266,8 @@
         HrControl_AnswerJson(
             control, message->u.request.listener, message->u.request.number,
             404,
-            json_pack("{s:s,s:s}", "error", "not_found", "remedy",
-                      "see hickoryrouterd(8) for the paths and methods"));
+            json_pack("{s:s}", "error",
+                      "this path or method is not served: see "
+                      "hickoryrouterd(8)"));
     }
 }
--- a/src/daemon-control-state.h
+++ b/src/daemon-control-state.h
@@ -17,6 +17,7 @@
 typedef struct HrControlMaps HrControlMaps;
 typedef struct HrControlDrain HrControlDrain;
 typedef struct HrControlReports HrControlReports;
+typedef struct HrControlContacts HrControlContacts;
 
 /* Open requests of one task. */
 typedef struct HrControlLoad {
@@ -34,6 +35,7 @@
     HrControlMaps *maps;
     HrControlDrain *drain;
     HrControlReports *reports;
+    HrControlContacts *contacts;
     HrControlLoad *loads;
     uint32_t load_count;
     int64_t started_ns;
@@ -107,6 +109,14 @@
 bool HrControlDrain_IsDraining(const HrControlDrain *drain);
 const char *HrControlDrain_StepName(const HrControlDrain *drain);
 
+/* daemon-control-contact.c */
+HrControlContacts *HrControlContacts_Create(HrControl *control);
+void HrControlContacts_Receive(HrControlContacts *contacts,
+                               const HrMessage *message);
+void HrControlContacts_MembersChanged(HrControlContacts *contacts);
+void HrControlContacts_AnswerMembers(HrControlContacts *contacts,
+                                     const HrMessage *request);
+
 /* daemon-control-request.c */
 void HrControl_ServeRequest(HrControl *control, const HrMessage *message);
 
--- a/src/daemon-control.c
+++ b/src/daemon-control.c
@@ -57,6 +57,7 @@
 {
     HrControlConfig_MembersChanged(control->config);
     HrControlClaims_MembersChanged(control->claims);
+    HrControlContacts_MembersChanged(control->contacts);
     notify_sched(control);
 }
 
@@ -139,6 +140,9 @@
     case HR_PEER_CLAIM:
         HrControlClaims_Receive(control->claims, frame->u.opaque);
         break;
+    case HR_PEER_CONTACT:
+        HrControlContacts_Receive(control->contacts, message);
+        break;
     default:
         HrControlMaps_Receive(control->maps, message);
         break;
@@ -209,6 +213,7 @@
                                           control->task->daemon->settings);
     return control->store != NULL && HrControlDrain_Create(control) != NULL &&
                    HrControlReports_Create(control) != NULL &&
+                   HrControlContacts_Create(control) != NULL &&
                    HrControlMaps_Create(control) != NULL &&
                    HrControlConfig_Create(control) != NULL &&
                    HrControlEdits_Create(control) != NULL &&
--- a/src/daemon-http.c
+++ b/src/daemon-http.c
@@ -61,7 +61,8 @@
 
     if (message == NULL) {
         answer_text(http, listener, HrHttpExchange_Number(exchange), 503,
-                    "application/json", "{\"error\":\"no_memory\"}\n");
+                    "application/json",
+                    "{\"error\":\"out of memory: repeat it later\"}\n");
         return;
     }
     message->u.request.listener = listener;
@@ -109,8 +110,8 @@
 {
     HrCounters_Add(http->task->daemon->counters, HR_COUNTER_bad_requests, 1);
     answer_text(http, listener, number, 404, "application/json",
-                "{\"error\":\"not_found\",\"remedy\":\"see "
-                "hickoryrouterd(8) for the paths and methods\"}\n");
+                "{\"error\":\"this path or method is not served: see "
+                "hickoryrouterd(8)\"}\n");
 }
 
 /* Serves a caller. */
@@ -167,7 +168,7 @@
                        1);
         answer_text(http, HR_LISTENER_OPERATOR,
                     HrHttpExchange_Number(exchange), 401, "application/json",
-                    "{\"error\":\"auth\",\"remedy\":\"send the header "
+                    "{\"error\":\"send the header "
                     "Authorization: Bearer TOKEN with the token of the "
                     "daemon's settings\"}\n");
         return;
--- a/src/proto-peer-codec.h
+++ b/src/proto-peer-codec.h
@@ -28,6 +28,7 @@
     HR_PEER_MEMBER, /* opaque: proto-member-codec */
     HR_PEER_CONFIG, /* opaque: proto-config-codec */
     HR_PEER_CLAIM,  /* opaque: proto-claim-codec */
+    HR_PEER_CONTACT,
 } HrPeerFrameKind;
 
 typedef struct HrPeerHello {
@@ -76,6 +77,12 @@
     const char *group;
 } HrPeerHandover;
 
+/* Where operators reach a daemon. */
+typedef struct HrPeerContact {
+    bool ask; /* for the receiver's address; else it is the sender's */
+    const char *operator_address;
+} HrPeerContact;
+
 /* One message between daemons. */
 typedef struct HrPeerFrame {
     HrPeerFrameKind kind;
@@ -91,6 +98,7 @@
         HrPeerHandover handover;
         uint64_t ping; /* of PING and PONG */
         HrBytes opaque;
+        HrPeerContact contact;
     } u;
 } HrPeerFrame;
 
--- a/src/proto-peer-decode.c
+++ b/src/proto-peer-decode.c
@@ -300,6 +300,12 @@
         frame->kind = HR_PEER_CLAIM;
         frame->u.opaque = plain_bytes(wire->claim);
         return HR_OK;
+    case WIRE__PEER_FRAME__BODY_CONTACT:
+        frame->kind = HR_PEER_CONTACT;
+        frame->u.contact.ask = wire->contact->ask;
+        frame->u.contact.operator_address = wire->contact->operator_address;
+        return is_name(wire->contact->operator_address) ? HR_OK
+                                                        : HR_ERR_PROTOCOL;
     default:
         return HR_ERR_PROTOCOL;
     }
--- a/src/proto-peer-encode.c
+++ b/src/proto-peer-encode.c
@@ -298,6 +298,24 @@
     return HR_OK;
 }
 
+/* Encodes a contact. */
+static int
+encode_contact(const void *parent, const HrPeerContact *contact,
+               Wire__PeerFrame *wire)
+{
+    Wire__Contact *body = talloc(parent, Wire__Contact);
+
+    if (body == NULL) {
+        return HR_ERR_NO_MEMORY;
+    }
+    wire__contact__init(body);
+    body->ask = contact->ask;
+    body->operator_address = wire_text(contact->operator_address);
+    wire->body_case = WIRE__PEER_FRAME__BODY_CONTACT;
+    wire->contact = body;
+    return HR_OK;
+}
+
 /* Fills the wire form of a frame; memory is a child of parent. */
 static int
 encode_body(const void *parent, const HrPeerFrame *frame, int64_t now_ns,
@@ -342,6 +360,8 @@
         wire->body_case = WIRE__PEER_FRAME__BODY_CLAIM;
         wire->claim = wire_bytes(frame->u.opaque);
         return HR_OK;
+    case HR_PEER_CONTACT:
+        return encode_contact(parent, &frame->u.contact, wire);
     }
     return HR_ERR_INVALID;
 }
--- a/src/proto-peer.pb-c.c
+++ b/src/proto-peer.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &wire__handover__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wire__contact__init
+                     (Wire__Contact         *message)
+{
+  static const Wire__Contact init_value = WIRE__CONTACT__INIT;
+  *message = init_value;
+}
+size_t wire__contact__get_packed_size
+                     (const Wire__Contact *message)
+{
+  assert(message->base.descriptor == &wire__contact__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wire__contact__pack
+                     (const Wire__Contact *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wire__contact__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wire__contact__pack_to_buffer
+                     (const Wire__Contact *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wire__contact__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wire__Contact *
+       wire__contact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wire__Contact *)
+     protobuf_c_message_unpack (&wire__contact__descriptor,
+                                allocator, len, data);
+}
+void   wire__contact__free_unpacked
+                     (Wire__Contact *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wire__contact__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wire__peer_frame__init
                      (Wire__PeerFrame         *message)
 {
@@ -1721,7 +1766,58 @@
   (ProtobufCMessageInit) wire__handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wire__peer_frame__field_descriptors[14] =
+static const ProtobufCFieldDescriptor wire__contact__field_descriptors[2] =
+{
+  {
+    "ask",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Contact, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator_address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wire__Contact, operator_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wire__contact__field_indices_by_name[] = {
+  0,   /* field[0] = ask */
+  1,   /* field[1] = operator_address */
+};
+static const ProtobufCIntRange wire__contact__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wire__contact__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wire.Contact",
+  "Contact",
+  "Wire__Contact",
+  "wire",
+  sizeof(Wire__Contact),
+  2,
+  wire__contact__field_descriptors,
+  wire__contact__field_indices_by_name,
+  1,  wire__contact__number_ranges,
+  (ProtobufCMessageInit) wire__contact__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wire__peer_frame__field_descriptors[15] =
 {
   {
     "hello",
@@ -1891,10 +1987,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "contact",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wire__PeerFrame, body_case),
+    offsetof(Wire__PeerFrame, contact),
+    &wire__contact__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wire__peer_frame__field_indices_by_name[] = {
   13,   /* field[13] = claim */
   12,   /* field[12] = config */
+  14,   /* field[14] = contact */
   7,   /* field[7] = group_report */
   8,   /* field[8] = handover */
   0,   /* field[0] = hello */
@@ -1911,7 +2020,7 @@
 static const ProtobufCIntRange wire__peer_frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wire__peer_frame__descriptor =
 {
@@ -1921,7 +2030,7 @@
   "Wire__PeerFrame",
   "wire",
   sizeof(Wire__PeerFrame),
-  14,
+  15,
   wire__peer_frame__field_descriptors,
   wire__peer_frame__field_indices_by_name,
   1,  wire__peer_frame__number_ranges,
--- a/src/proto-peer.pb-c.h
+++ b/src/proto-peer.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Wire__GroupVersion Wire__GroupVersion;
 typedef struct Wire__GroupReport Wire__GroupReport;
 typedef struct Wire__Handover Wire__Handover;
+typedef struct Wire__Contact Wire__Contact;
 typedef struct Wire__PeerFrame Wire__PeerFrame;
 
 
@@ -236,6 +237,20 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Asks for the operator address of the receiver, or gives that of the sender.
+ */
+struct  Wire__Contact
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean ask;
+  char *operator_address;
+};
+#define WIRE__CONTACT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wire__contact__descriptor) \
+    , 0, (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   WIRE__PEER_FRAME__BODY__NOT_SET = 0,
   WIRE__PEER_FRAME__BODY_HELLO = 1,
@@ -251,7 +266,8 @@
   WIRE__PEER_FRAME__BODY_PONG = 11,
   WIRE__PEER_FRAME__BODY_MEMBER = 12,
   WIRE__PEER_FRAME__BODY_CONFIG = 13,
-  WIRE__PEER_FRAME__BODY_CLAIM = 14
+  WIRE__PEER_FRAME__BODY_CLAIM = 14,
+  WIRE__PEER_FRAME__BODY_CONTACT = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WIRE__PEER_FRAME__BODY__CASE)
 } Wire__PeerFrame__BodyCase;
 
@@ -274,6 +290,7 @@
     ProtobufCBinaryData member;
     ProtobufCBinaryData config;
     ProtobufCBinaryData claim;
+    Wire__Contact *contact;
   };
 };
 #define WIRE__PEER_FRAME__INIT \
@@ -547,6 +564,25 @@
 void   wire__handover__free_unpacked
                      (Wire__Handover *message,
                       ProtobufCAllocator *allocator);
+/* Wire__Contact methods */
+void   wire__contact__init
+                     (Wire__Contact         *message);
+size_t wire__contact__get_packed_size
+                     (const Wire__Contact   *message);
+size_t wire__contact__pack
+                     (const Wire__Contact   *message,
+                      uint8_t             *out);
+size_t wire__contact__pack_to_buffer
+                     (const Wire__Contact   *message,
+                      ProtobufCBuffer     *buffer);
+Wire__Contact *
+       wire__contact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wire__contact__free_unpacked
+                     (Wire__Contact *message,
+                      ProtobufCAllocator *allocator);
 /* Wire__PeerFrame methods */
 void   wire__peer_frame__init
                      (Wire__PeerFrame         *message);
@@ -610,6 +646,9 @@
 typedef void (*Wire__Handover_Closure)
                  (const Wire__Handover *message,
                   void *closure_data);
+typedef void (*Wire__Contact_Closure)
+                 (const Wire__Contact *message,
+                  void *closure_data);
 typedef void (*Wire__PeerFrame_Closure)
                  (const Wire__PeerFrame *message,
                   void *closure_data);
@@ -633,6 +672,7 @@
 extern const ProtobufCMessageDescriptor wire__group_version__descriptor;
 extern const ProtobufCMessageDescriptor wire__group_report__descriptor;
 extern const ProtobufCMessageDescriptor wire__handover__descriptor;
+extern const ProtobufCMessageDescriptor wire__contact__descriptor;
 extern const ProtobufCMessageDescriptor wire__peer_frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/trans-http-server.c
+++ b/src/trans-http-server.c
@@ -230,7 +230,7 @@
 refuse_too_large(HrHttpExchange *exchange)
 {
     static char text[] =
-        "{\"error\":\"too_large\",\"remedy\":\"send a smaller body\"}\n";
+        "{\"error\":\"the body is too large: send a smaller one\"}\n";
     struct MHD_Response *response = MHD_create_response_from_buffer(
         sizeof(text) - 1, text, MHD_RESPMEM_PERSISTENT);
     enum MHD_Result result;
@@ -326,7 +326,8 @@
 static int
 destroy_server(HrHttpServer *server)
 {
-    static const char text[] = "{\"error\":\"unavailable\"}\n";
+    static const char text[] =
+        "{\"error\":\"the daemon stops: use another one\"}\n";
     HrBytes body = {(const uint8_t *)text, sizeof(text) - 1};
     HrHttpExchange *exchange, *next;
 
--- a/tests/test-peer-codec.c
+++ b/tests/test-peer-codec.c
@@ -78,6 +78,9 @@
     case HR_PEER_PONG:
         frame->u.ping = UINT64_MAX;
         break;
+    case HR_PEER_CONTACT:
+        frame->u.contact = (HrPeerContact){true, "127.0.0.1:7101"};
+        break;
     case HR_PEER_MEMBER:
     case HR_PEER_CONFIG:
     case HR_PEER_CLAIM:
@@ -94,7 +97,7 @@
     int kind;
 
     (void)state;
-    for (kind = HR_PEER_HELLO; kind <= HR_PEER_CLAIM; kind++) {
+    for (kind = HR_PEER_HELLO; kind <= HR_PEER_CONTACT; kind++) {
         HrPeerFrame frame, *decoded;
         HrBytes first, second, body;
         uint32_t length;
@@ -155,7 +158,7 @@
         int changes = 1 + (int)HrRng_Below(&rng, 4);
         HrError err = {0};
 
-        make_frame((HrPeerFrameKind)HrRng_Below(&rng, HR_PEER_CLAIM + 1),
+        make_frame((HrPeerFrameKind)HrRng_Below(&rng, HR_PEER_CONTACT + 1),
                    &frame);
         assert_int_equal(HrPeerFrame_Encode(NULL, &frame, NOW_NS, &whole),
                          HR_OK);
