--- a/src/daemon-query-answer.c
+++ b/src/daemon-query-answer.c
@@ -41,6 +41,39 @@
     }
 }
 
+/* Returns true if a group refused a shard of the query for overload. */
+static bool
+met_overload(const HrGatherAnswer *answer)
+{
+    uint32_t i;
+
+    for (i = 0; i < answer->gap_count; i++) {
+        if (answer->gaps[i].reason == HR_REASON_OVERLOADED) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Adjusts the number of queries that run at once. */
+static void
+adjust_limit(HrQueryTask *state, const HrGatherAnswer *answer)
+{
+    uint32_t former = HrQueryLimit_Places(&state->limit);
+    HrAdmitEvent event = {.kind = HR_ADMIT_PLACES,
+                          .now_ns = HrLoop_NowNs(state->task->loop)};
+    HrAdmitStats stats;
+
+    HrAdmit_GetStats(state->admit, &stats);
+    HrQueryLimit_Note(&state->limit, met_overload(answer), stats.waiting > 0,
+                      event.now_ns);
+    event.u.places.places = HrQueryLimit_Places(&state->limit);
+    event.u.places.queue_limit = state->task->daemon->settings->max_queries;
+    if (event.u.places.places != former) {
+        HrAdmit_Handle(state->admit, &event);
+    }
+}
+
 /* Sends a JSON text, which message takes over, to the caller. */
 static void
 send_text(HrQueryTask *state, uint64_t http_number, int status,
@@ -76,6 +109,7 @@
     if (query->admitted) {
         HrBurn_Record(state->burn, &query->route, answer,
                       HrTime_ToNs(HrClock_Wall(daemon->clock)));
+        adjust_limit(state, answer);
     }
     count_answer(daemon->counters, answer);
     send_text(state, query->http_number,
--- a/src/daemon-query-state.h
+++ b/src/daemon-query-state.h
@@ -9,6 +9,7 @@
 #include "coord-burn.h"
 #include "coord-gather.h"
 #include "daemon-placement.h"
+#include "daemon-query-limit.h"
 #include "daemon-task.h"
 #include "proto-caller.h"
 
@@ -63,6 +64,7 @@
 struct HrQueryTask {
     HrTask *task;
     HrAdmit *admit;
+    HrQueryLimit limit;
     HrLoopTimer *admit_timer;
     HrLoopTimer *load_timer;
     HrPlacement *placement;
--- a/src/daemon-query.c
+++ b/src/daemon-query.c
@@ -428,8 +428,7 @@
 {
     const HrSettings *settings = task->daemon->settings;
     HrQueryTask *state = talloc_zero(task, HrQueryTask);
-    HrAdmitConfig admit = {.places = settings->max_queries,
-                           .queue_limit = settings->max_queries};
+    HrAdmitConfig admit = {.queue_limit = settings->max_queries};
     HrBurnConfig burn = HrBurnConfig_Default();
 
     if (state == NULL) {
@@ -437,6 +436,8 @@
     }
     state->task = task;
     state->last_counter = task->index;
+    state->limit = HrQueryLimit_Start(settings->max_queries);
+    admit.places = HrQueryLimit_Places(&state->limit);
     state->admit = HrAdmit_Create(state, &admit);
     state->placement = HrPlacement_Create(state);
     state->burn = HrBurn_Create(state, &burn);
