--- a/src/daemon-query-state.h
+++ b/src/daemon-query-state.h
@@ -41,7 +41,6 @@
     HrRoute route; /* a copy; its strings belong to the query */
     HrQueryPhase phase;
     int64_t received_ns;
-    int64_t started_ns;
     int64_t deadline_ns;
     bool admitted;
     bool claimed;
--- a/src/daemon-query.c
+++ b/src/daemon-query.c
@@ -27,8 +27,12 @@
 
     if (query->admitted) {
         event.kind = HR_ADMIT_FINISH;
+        /* The service time is withheld. The admission queue keeps one mean for
+         * all routes and refuses whatever it exceeds: after slow queries it
+         * would refuse those with short deadlines for ever, as nothing that
+         * ran would lower the mean again. */
         event.u.finish.id = query->id.counter;
-        event.u.finish.service_ns = event.now_ns - query->started_ns;
+        event.u.finish.service_ns = -1;
     }
     else {
         event.u.withdraw_id = query->id.counter;
@@ -155,7 +159,6 @@
             continue;
         }
         query->admitted = true;
-        query->started_ns = HrLoop_NowNs(state->task->loop);
         HrQuery_Proceed(query);
     }
     state->in_admission = false;
@@ -232,7 +235,9 @@
     return query;
 }
 
-/* Puts a query into the admission queue. */
+/* Puts a query into the admission queue. It must be able to finish within half
+ * of its time: one that starts later meets the queues of the groups with too
+ * little time left, and its answer is mostly partial. */
 static void
 admit_query(HrQuery *query)
 {
@@ -243,7 +248,8 @@
     event.u.arrive.id = query->id.counter;
     event.u.arrive.priority = query->route.priority;
     event.u.arrive.caller = query->caller->caller;
-    event.u.arrive.deadline_ns = query->deadline_ns;
+    event.u.arrive.deadline_ns =
+        query->received_ns + (query->deadline_ns - query->received_ns) / 2;
     event.u.arrive.caller_share_percent = query->route.caller_share_percent;
     HrAdmit_Handle(state->admit, &event);
     drain_admission(state);
--- /dev/null
+++ b/tests/test-daemon-parts.c
@@ -0,0 +1,312 @@
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include <cmocka.h>
+
+#include "base-clock.h"
+#include "base-rng.h"
+#include "daemon-pending.h"
+#include "daemon-placement.h"
+#include "daemon-query-limit.h"
+#include "daemon-snapshot.h"
+
+#define SEED UINT64_C(20261208)
+#define STEPS 40000
+#define SUBS_MAX 512
+#define READERS 3
+#define VIEWS 2000
+
+/* The naive table: a list. */
+typedef struct NaivePending {
+    HrPendingSub subs[SUBS_MAX];
+    uint32_t count;
+} NaivePending;
+
+/* Removes the sub-request at an index; the order of the others stays. */
+static HrPendingSub
+naive_remove(NaivePending *naive, uint32_t index)
+{
+    HrPendingSub sub = naive->subs[index];
+
+    memmove(&naive->subs[index], &naive->subs[index + 1],
+            (naive->count - index - 1) * sizeof(sub));
+    naive->count--;
+    return sub;
+}
+
+/* Returns the index of a sub-request, or the count. */
+static uint32_t
+naive_find(const NaivePending *naive, uint64_t counter, uint32_t sub_id)
+{
+    uint32_t i;
+
+    for (i = 0; i < naive->count; i++) {
+        if (naive->subs[i].query.counter == counter &&
+            naive->subs[i].sub_id == sub_id) {
+            break;
+        }
+    }
+    return i;
+}
+
+/* Returns the index of the first sub-request of a link and batch, or the
+ * count. */
+static uint32_t
+naive_find_of_link(const NaivePending *naive, uint64_t link, uint64_t tag)
+{
+    uint32_t i;
+
+    for (i = 0; i < naive->count; i++) {
+        if (naive->subs[i].link == link &&
+            (tag == 0 || naive->subs[i].tag == tag)) {
+            break;
+        }
+    }
+    return i;
+}
+
+/* Adds a random sub-request to both tables. */
+static void
+step_add(HrPending *pending, NaivePending *naive, HrRng *rng)
+{
+    HrPendingSub sub = {.query = {1, 2, HrRng_Below(rng, 40)},
+                        .sub_id = (uint32_t)HrRng_Below(rng, 8),
+                        .link = HrRng_Below(rng, 6) + 1,
+                        .tag = HrRng_Below(rng, 20) + 1};
+    bool known =
+        naive_find(naive, sub.query.counter, sub.sub_id) < naive->count;
+
+    assert_int_equal(HrPending_Add(pending, &sub),
+                     known ? HR_ERR_DUPLICATE : HR_OK);
+    if (!known) {
+        naive->subs[naive->count++] = sub;
+    }
+}
+
+/* Takes a random sub-request, or one of a random link, from both tables. */
+static void
+step_take(HrPending *pending, NaivePending *naive, HrRng *rng)
+{
+    HrPendingSub found, expected;
+    uint32_t index;
+    bool taken;
+
+    if (HrRng_Chance(rng, 0.5)) {
+        HrQueryId query = {1, 2, HrRng_Below(rng, 40)};
+        uint32_t sub_id = (uint32_t)HrRng_Below(rng, 8);
+
+        index = naive_find(naive, query.counter, sub_id);
+        taken = HrPending_Take(pending, &query, sub_id, &found);
+    }
+    else {
+        uint64_t link = HrRng_Below(rng, 6) + 1;
+        uint64_t tag = HrRng_Below(rng, 21);
+
+        index = naive_find_of_link(naive, link, tag);
+        taken = HrPending_TakeOfLink(pending, link, tag, &found);
+    }
+    assert_int_equal(taken, index < naive->count);
+    if (taken) {
+        expected = naive_remove(naive, index);
+        assert_true(found.query.counter == expected.query.counter &&
+                    found.sub_id == expected.sub_id &&
+                    found.link == expected.link && found.tag == expected.tag);
+    }
+}
+
+/* Guards against sub-requests that are lost or reported for another link:
+ * compares the table with a list over random steps. */
+static void
+test_pending_matches_list(void **state)
+{
+    static NaivePending naive;
+    HrRng rng = HrRng_FromSeed(SEED);
+    HrPending *pending = HrPending_Create(NULL);
+    int step;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (step = 0; step < STEPS; step++) {
+        if (HrRng_Chance(&rng, 0.5)) {
+            step_add(pending, &naive, &rng);
+        }
+        else {
+            step_take(pending, &naive, &rng);
+        }
+        assert_int_equal(HrPending_Count(pending), naive.count);
+    }
+    talloc_free(pending);
+}
+
+/* Returns the limit after the ends of some queries. */
+static uint32_t
+note_many(HrQueryLimit *limit, bool overloaded, bool binding, int count,
+          int64_t *now_ns)
+{
+    while (count-- > 0) {
+        *now_ns += HR_NS_PER_MS;
+        HrQueryLimit_Note(limit, overloaded, binding, *now_ns);
+    }
+    return HrQueryLimit_Places(limit);
+}
+
+/* Guards against a limit that leaves its range, falls to nothing, falls for
+ * one event many times, or does not recover. */
+static void
+test_limit_stays_in_range(void **state)
+{
+    HrQueryLimit limit = HrQueryLimit_Start(1000);
+    int64_t now_ns = 0;
+    uint32_t first = HrQueryLimit_Places(&limit), low;
+
+    (void)state;
+    assert_int_equal(note_many(&limit, false, false, 100, &now_ns), first);
+    assert_int_equal(note_many(&limit, false, true, 5000, &now_ns), 1000);
+    assert_int_equal(note_many(&limit, true, true, 40, &now_ns), 850);
+    low = note_many(&limit, true, true, 10000, &now_ns);
+    assert_in_range(low, 1, 4);
+    assert_true(note_many(&limit, false, true, 5000, &now_ns) > 50);
+    limit = HrQueryLimit_Start(1);
+    assert_int_equal(note_many(&limit, false, true, 10, &now_ns), 1);
+}
+
+/* Guards against candidates that differ from the ranking, and against a stale
+ * placement after a change of members or tables. */
+static void
+test_placement_follows_view_and_tables(void **state)
+{
+    HrServer servers[6];
+    HrPool pool = {.name = "pool", .servers = servers, .server_count = 6};
+    HrTables tables = {.revision = 1, .pools = &pool, .pool_count = 1};
+    HrMember members[5];
+    HrMemberView view = {.revision = 1, .members = members, .member_count = 5};
+    HrPlacement *placement = HrPlacement_Create(NULL);
+    const char *data_centres[] = {"dc0", "dc1"};
+    HrOwnerPreference prefer = {data_centres, 2};
+    uint64_t ids[HR_OWNER_CANDIDATES];
+    const HrPlacedGroup *group;
+    uint32_t i;
+
+    (void)state;
+    memset(servers, 0, sizeof(servers));
+    memset(members, 0, sizeof(members));
+    for (i = 0; i < 6; i++) {
+        servers[i].group = i < 2 ? "a" : i < 4 ? "b" : "c";
+        servers[i].data_centre = data_centres[i % 2];
+    }
+    for (i = 0; i < 5; i++) {
+        members[i].daemon_id = 100 + i;
+        snprintf(members[i].data_centre, HR_NAME_BYTES, "dc%u", i);
+    }
+    assert_true(HrPlacement_Update(placement, &tables, &view));
+    assert_false(HrPlacement_Update(placement, &tables, &view));
+    group = HrPlacement_Find(placement, "pool", "b");
+    assert_non_null(group);
+    assert_int_equal(group->count,
+                     HrOwner_Candidates(&view, "pool", "b", &prefer, ids,
+                                        HR_OWNER_CANDIDATES));
+    assert_memory_equal(group->ids, ids, group->count * sizeof(ids[0]));
+    assert_int_equal(HrPlacedGroup_Rank(group, ids[1]), 1);
+    assert_int_equal(HrPlacedGroup_Rank(group, 7), -1);
+    view.revision = 2;
+    view.member_count = 1;
+    assert_true(HrPlacement_Update(placement, &tables, &view));
+    assert_int_equal(HrPlacement_Find(placement, "pool", "b")->count, 1);
+    tables.revision = 2;
+    pool.server_count = 2;
+    assert_true(HrPlacement_Update(placement, &tables, &view));
+    assert_null(HrPlacement_Find(placement, "pool", "b"));
+    assert_non_null(HrPlacement_Find(placement, "pool", "a"));
+    talloc_free(placement);
+}
+
+/* A thread that reads member views. */
+typedef struct Reader {
+    pthread_t thread;
+    HrSnapshots *snapshots;
+    HrSnapshotReader *reader;
+    uint32_t wrong;
+} Reader;
+
+/* Reads views until the last one is there; each must be whole. */
+static void *
+run_reader(void *arg)
+{
+    Reader *reader = arg;
+    uint64_t last = 0;
+
+    while (last < VIEWS) {
+        const HrMemberView *view;
+        uint32_t i;
+
+        HrSnapshotReader_Begin(reader->reader);
+        view = HrSnapshots_Members(reader->snapshots);
+        if (view != NULL) {
+            reader->wrong += view->revision < last;
+            last = view->revision;
+            for (i = 0; i < view->member_count; i++) {
+                reader->wrong += view->members[i].daemon_id != view->revision;
+            }
+        }
+        HrSnapshotReader_End(reader->reader);
+    }
+    return NULL;
+}
+
+/* Guards against a snapshot that is freed while a thread reads it, and
+ * against snapshots that are never freed. */
+static void
+test_snapshots_live_while_read(void **state)
+{
+    HrSnapshots *snapshots = HrSnapshots_Create(NULL);
+    HrSnapshotReader *writer = HrSnapshots_AddReader(snapshots);
+    Reader readers[READERS];
+    uint64_t revision;
+    uint32_t i;
+
+    (void)state;
+    for (i = 0; i < READERS; i++) {
+        readers[i].snapshots = snapshots;
+        readers[i].reader = HrSnapshots_AddReader(snapshots);
+        readers[i].wrong = 0;
+        assert_int_equal(
+            pthread_create(&readers[i].thread, NULL, run_reader, &readers[i]),
+            0);
+    }
+    for (revision = 1; revision <= VIEWS; revision++) {
+        HrMemberView *view = talloc_zero(NULL, HrMemberView);
+
+        view->revision = revision;
+        view->member_count = 8;
+        view->members = talloc_zero_array(view, HrMember, 8);
+        for (i = 0; i < 8; i++) {
+            view->members[i].daemon_id = revision;
+        }
+        HrSnapshots_PublishMembers(snapshots, writer, view);
+        HrSnapshots_Reclaim(writer);
+    }
+    for (i = 0; i < READERS; i++) {
+        pthread_join(readers[i].thread, NULL);
+        assert_int_equal(readers[i].wrong, 0);
+    }
+    talloc_free(snapshots);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_pending_matches_list),
+        cmocka_unit_test(test_limit_stays_in_range),
+        cmocka_unit_test(test_placement_follows_view_and_tables),
+        cmocka_unit_test(test_snapshots_live_while_read),
+    };
+
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
