Compare slow servers by the median of the group alone

The mean of a group of three is moved by the slow server itself: a server ten times slower than its two peers was never ejected. The latencies from before an ejection are dropped at reinstatement, or they would eject it again.

--- a/src/coord-eject.c
+++ b/src/coord-eject.c
@@ -25,7 +25,8 @@
 #define MIN_SAMPLES 8
 
 /* A server is ejected for slowness when its median is this many times the
- * group's. Below that, replica choice alone shifts the load. */
+ * group's; the median of the group hardly moves with one server. Below that,
+ * replica choice alone shifts the load. */
 #define SLOW_FACTOR 5
 #define MIN_SLOW_SAMPLES 32
 
@@ -258,7 +259,6 @@
 {
     return server->samples >= MIN_SLOW_SAMPLES &&
            own->hist.count >= MIN_SLOW_SAMPLES &&
-           own->mean_ns > SLOW_FACTOR * group->mean_ns &&
            own->p50_ns > SLOW_FACTOR * group->p50_ns;
 }
 
@@ -305,16 +305,19 @@
 }
 
 /* Reinstates the server when its time has come. */
-void
+bool
 HrEject_Advance(HrEject *eject, HrEjectServer *server, int64_t now_ns)
 {
-    if (server->ejected && now_ns >= reinstate_ns(server)) {
+    bool is_due = server->ejected && now_ns >= reinstate_ns(server);
+
+    if (is_due) {
         reinstate_server(eject, server, now_ns);
     }
     if (!server->is_cold && server->ramp_since_ns != HR_TIME_NEVER &&
         now_ns - server->ramp_since_ns >= HR_EJECT_SLOW_START_NS) {
         server->ramp_since_ns = HR_TIME_NEVER;
     }
+    return is_due;
 }
 
 /* Returns true if the server is leaving. */
--- a/src/coord-eject.h
+++ b/src/coord-eject.h
@@ -88,8 +88,9 @@
                         HrEjectSample sample, const HrLatency *own,
                         const HrLatency *group, int64_t now_ns);
 
-/* Reinstates the server when its time has come. */
-void HrEject_Advance(HrEject *eject, HrEjectServer *server, int64_t now_ns);
+/* Reinstates the server when its time has come. Returns true if it did: the
+ * latencies from before say nothing any more. */
+bool HrEject_Advance(HrEject *eject, HrEjectServer *server, int64_t now_ns);
 
 /* Returns true if the server is leaving, for good as far as is known. */
 bool HrEject_IsLeaving(const HrEjectServer *server);
--- a/src/coord-sched-server.c
+++ b/src/coord-sched-server.c
@@ -104,7 +104,9 @@
     if (server->is_removed) {
         return;
     }
-    HrEject_Advance(&sched->eject, &server->eject, now_ns);
+    if (HrEject_Advance(&sched->eject, &server->eject, now_ns)) {
+        HrLatency_Reset(&server->select.latency);
+    }
     is_serving = !HrEject_IsLeaving(&server->eject);
     if (sched->role.kind != HR_SCHED_ROLE_NONE &&
         HrEject_IsUsable(&server->eject, now_ns)) {
