--- a/src/coord-budget.c
+++ b/src/coord-budget.c
@@ -29,24 +29,38 @@
     }
 }
 
-/* While the group is overloaded, HrBudget_Take grants nothing. */
+/* While the group is overloaded, no token may be taken. */
 void
 HrBudget_SetOverloaded(HrBudget *budget, bool overloaded)
 {
     budget->overloaded = overloaded;
 }
 
-/* Takes a token for an attempt that may repeat work. */
-bool
-HrBudget_Take(HrBudget *budget)
+/* Takes a token if that leaves a reserve. */
+static bool
+take_token(HrBudget *budget, double reserve)
 {
-    if (budget->overloaded || budget->tokens < 1) {
+    if (budget->overloaded || budget->tokens < 1 + reserve) {
         return false;
     }
     budget->tokens -= 1;
     return true;
 }
 
+/* Takes a token for a hedge. */
+bool
+HrBudget_TakeForHedge(HrBudget *budget)
+{
+    return take_token(budget, HR_BUDGET_RETRY_RESERVE);
+}
+
+/* Takes a token for a retry that may repeat work. */
+bool
+HrBudget_TakeForRetry(HrBudget *budget)
+{
+    return take_token(budget, 0);
+}
+
 /* Charges an attempt that repeats no work. */
 void
 HrBudget_Charge(HrBudget *budget)
@@ -57,9 +71,12 @@
     }
 }
 
-/* Returns the filled part of the burst, from 0 to 1. */
+/* Returns the filled part of what hedges may take, from 0 to 1. */
 double
 HrBudget_Level(const HrBudget *budget)
 {
-    return budget->tokens <= 0 ? 0 : budget->tokens / HR_BUDGET_BURST;
+    double tokens = budget->tokens - HR_BUDGET_RETRY_RESERVE;
+
+    return tokens <= 0 ? 0
+                       : tokens / (HR_BUDGET_BURST - HR_BUDGET_RETRY_RESERVE);
 }
--- a/src/coord-sched-attempt.c
+++ b/src/coord-sched-attempt.c
@@ -67,7 +67,7 @@
 
 /* Counts an attempt by its kind, and in the budget. */
 static void
-count_attempt(HrSched *sched, const HrSchedSub *sub, HrAttemptKind kind)
+count_attempt(HrSched *sched, HrSchedSub *sub, HrAttemptKind kind)
 {
     sched->attempts_by_kind[kind]++;
     switch (kind) {
@@ -79,9 +79,10 @@
         HrSched_Count(sched, HR_COUNTER_sub_hedges_sent);
         break;
     case HR_ATTEMPT_RETRY:
-        if (!sub->needs_token) {
+        if (!sub->has_token) {
             HrBudget_Charge(&sched->budget);
         }
+        sub->has_token = false;
         HrSched_Count(sched, HR_COUNTER_sub_retries_sent);
         break;
     }
--- a/src/coord-sched-int.h
+++ b/src/coord-sched-int.h
@@ -85,7 +85,8 @@
     HrReason reason;            /* of the last attempt that failed */
     bool is_hedged;
     bool awaits_hedge; /* in the list of hedges that wait for a slot */
-    bool needs_token;  /* the retry may repeat work and takes a token */
+    bool needs_token;  /* the retry may repeat work */
+    bool has_token;    /* and the token for it is taken */
     bool must_open;    /* the retry uses a fresh connection */
     bool is_blocked;   /* no free server suits it */
 };
--- a/src/coord-sched-retry.c
+++ b/src/coord-sched-retry.c
@@ -9,7 +9,10 @@
 
 /* Below this level of the budget, hedges wait for longer, so that the tokens
  * go to the slowest requests. */
-#define LOW_BUDGET 0.5
+#define LOW_BUDGET 0.9
+
+/* A silent attempt that cannot be replaced yet is looked at again. */
+#define SILENT_POSTPONE_NS (2 * HR_NS_PER_MS)
 
 /* Bound of the random delay before the first retry; doubled for each one. */
 #define RETRY_BASE_NS (1 * HR_NS_PER_MS)
@@ -158,7 +161,7 @@
         return;
     }
     HrSchedRetry_ForgetHedge(sched, sub);
-    if (!HrBudget_Take(&sched->budget)) {
+    if (!HrBudget_TakeForHedge(&sched->budget)) {
         sub->hedge_ns = now_ns + HEDGE_POSTPONE_NS;
         HrSchedSub_Arm(sched, sub);
         return;
@@ -184,6 +187,31 @@
     }
 }
 
+/* Takes the token for a retry, unless it is taken already. Returns false when
+ * there is none. */
+static bool
+take_retry_token(HrSched *sched, HrSchedSub *sub)
+{
+    if (!sub->has_token) {
+        sub->has_token = HrBudget_TakeForRetry(&sched->budget);
+    }
+    return sub->has_token;
+}
+
+/* Gives up an attempt as silent. Without a token for a retry it is better to
+ * wait on, in case it is only slow. Returns true if it was given up. */
+static bool
+give_up_silent(HrSched *sched, HrSchedSub *sub, HrSchedAttempt *attempt,
+               int64_t now_ns)
+{
+    if (sub->live == 1 && !take_retry_token(sched, sub)) {
+        attempt->silent_ns = now_ns + SILENT_POSTPONE_NS;
+        return false;
+    }
+    HrSchedAttempt_Cancel(sched, attempt, true, now_ns);
+    return true;
+}
+
 /* Gives up the silent attempts of a sub-request and retries it. */
 static void
 handle_silent(HrSched *sched, HrSchedSub *sub, int64_t now_ns)
@@ -192,8 +220,8 @@
     bool any = false;
 
     LIST_FOREACH (attempt, &sub->attempts, in_sub) {
-        if (attempt->is_live && attempt->silent_ns <= now_ns) {
-            HrSchedAttempt_Cancel(sched, attempt, true, now_ns);
+        if (attempt->is_live && attempt->silent_ns <= now_ns &&
+            give_up_silent(sched, sub, attempt, now_ns)) {
             any = true;
         }
     }
@@ -207,7 +235,7 @@
 static void
 handle_retry(HrSched *sched, HrSchedSub *sub, int64_t now_ns)
 {
-    if (sub->needs_token && !HrBudget_Take(&sched->budget)) {
+    if (sub->needs_token && !take_retry_token(sched, sub)) {
         delay_retry(sched, sub, now_ns);
         return;
     }
--- a/tests/common-sched-sim.h
+++ b/tests/common-sched-sim.h
@@ -408,13 +408,13 @@
     return sim->job_count++;
 }
 
-/* Sends a sub-request to a server without a scheduler. */
+/* Sends a sub-request to a server without a scheduler, over a connection that
+ * was opened at the start and is never replaced. */
 static inline void
 sim_send_direct(Sim *sim, uint32_t sub, uint32_t server)
 {
     uint32_t job = sim_add_job(sim, sub, UINT32_MAX, server);
 
-    sim->jobs[job].connection_epoch = sim->servers[server].connection_epoch;
     sim_after(sim, sim->config.network_ns, SIM_ARRIVE, job);
 }
 
