--- a/src/coord-conns.c
+++ b/src/coord-conns.c
@@ -179,3 +179,12 @@
     }
     return wait_ns > least_ns ? wait_ns : least_ns;
 }
+
+/* Returns true if so long a wait shows that the connection is silent. */
+bool
+HrConns_IsSilence(const HrLatency *latency, int64_t waited_ns)
+{
+    return waited_ns >= MIN_SILENT_NS &&
+           (latency->hist.count < MIN_SAMPLES ||
+            waited_ns >= SILENT_P99_FACTOR * latency->p99_ns);
+}
--- a/src/coord-conns.h
+++ b/src/coord-conns.h
@@ -60,7 +60,12 @@
 void HrConns_DropIdle(HrConns *conns);
 
 /* Returns how long to wait for an answer before a connection counts as
- * silent, given the server's digest and the time left. */
+ * silent, given the server's digest and the time left. Less is waited where
+ * the time left would not suffice for another attempt. */
 int64_t HrConns_SilentWait(const HrLatency *latency, int64_t left_ns);
 
+/* Returns true if so long a wait shows that the connection is silent, rather
+ * than that the time is short. */
+bool HrConns_IsSilence(const HrLatency *latency, int64_t waited_ns);
+
 #endif
--- a/src/coord-sched-attempt.c
+++ b/src/coord-sched-attempt.c
@@ -244,7 +244,24 @@
     HrSched_Append(sched, &attempt->cancel);
 }
 
-/* Cancels an attempt; with close_connection it counts as silent. */
+/* Counts against the server that an attempt was given up, if it took long
+ * enough. Under overload requests start with little time left; if each of
+ * them counted, the servers would be ejected one after the other. */
+static void
+note_given_up(HrSched *sched, HrSchedAttempt *attempt, int64_t now_ns)
+{
+    HrSchedServer *server = attempt->server;
+
+    if (!HrConns_IsSilence(&server->select.latency,
+                           now_ns - attempt->sent_ns)) {
+        return;
+    }
+    HrSched_Count(sched, HR_COUNTER_connections_silent);
+    HrConns_MarkSilent(&server->conns);
+    note_sample(sched, attempt, HR_EJECT_FAILURE, now_ns);
+}
+
+/* Cancels an attempt; with close_connection it is given up as silent. */
 void
 HrSchedAttempt_Cancel(HrSched *sched, HrSchedAttempt *attempt,
                       bool close_connection, int64_t now_ns)
@@ -255,9 +272,7 @@
     }
     append_cancel(sched, attempt, close_connection);
     if (close_connection) {
-        HrSched_Count(sched, HR_COUNTER_connections_silent);
-        HrConns_MarkSilent(&attempt->server->conns);
-        note_sample(sched, attempt, HR_EJECT_FAILURE, now_ns);
+        note_given_up(sched, attempt, now_ns);
     }
 }
 
@@ -447,18 +462,26 @@
     }
 }
 
-/* Ends an attempt whose connection failed after the request was sent. The
- * server may still run it, so the slot stays occupied until the server
- * confirms a cancel. */
+/* Ends an attempt whose connection failed after the request was sent, or
+ * whose deadline has passed. The server may still run it, so the slot stays
+ * occupied until the server confirms a cancel. */
 static void
 fail_lost(HrSched *sched, HrSchedAttempt *attempt, int64_t now_ns)
 {
+    bool is_late = now_ns >= attempt->deadline_ns;
+    HrReason reason = is_late ? HR_REASON_DEADLINE : HR_REASON_CONNECTION;
+
     if (!attempt->was_cancelled) {
         append_cancel(sched, attempt, false);
-        note_sample(sched, attempt, HR_EJECT_FAILURE, now_ns);
+        if (is_late) {
+            note_given_up(sched, attempt, now_ns);
+        }
+        else {
+            note_sample(sched, attempt, HR_EJECT_FAILURE, now_ns);
+        }
     }
     if (attempt->sub != NULL) {
-        end_unknown(sched, attempt, HR_REASON_CONNECTION, now_ns);
+        end_unknown(sched, attempt, reason, now_ns);
     }
 }
 
--- a/src/coord-sched-int.h
+++ b/src/coord-sched-int.h
@@ -252,7 +252,7 @@
 int HrSchedAttempt_Send(HrSched *sched, HrSchedSub *sub, HrSchedServer *server,
                         HrAttemptKind kind, int64_t now_ns);
 
-/* Cancels an attempt; with close_connection it counts as silent. */
+/* Cancels an attempt; with close_connection it is given up as silent. */
 void HrSchedAttempt_Cancel(HrSched *sched, HrSchedAttempt *attempt,
                            bool close_connection, int64_t now_ns);
 
