Estimate the wait of a low class by the bound on starvation

A request of the lowest class was refused at once while higher classes filled the queue, although one in 48 starts is reserved for it.

--- a/src/coord-admit.c
+++ b/src/coord-admit.c
@@ -188,13 +188,14 @@
                : share;
 }
 
-/* Estimates how long an arrival would wait for a place. */
+/* Estimates how long an arrival would wait for a place: until the entries
+ * before it are served, or until the bound on starvation serves its class. */
 static double
 estimate_wait_ns(HrAdmit *admit, const HrAdmitArrive *arrive,
                  const char *caller)
 {
     uint32_t same, ahead;
-    double turn_ns;
+    double turn_ns, wait_ns, bound_ns;
 
     if (admit->config.places == 0 ||
         (admit->running < admit->config.places && admit->queue.waiting == 0)) {
@@ -202,8 +203,10 @@
     }
     ahead = HrAdmitQueue_Ahead(&admit->queue, arrive->priority, caller, &same);
     turn_ns = admit->mean_service_ns / admit->config.places;
-    return turn_ns * (ahead - same) +
-           turn_ns * (same + 1) / class_share(admit, arrive->priority);
+    wait_ns = turn_ns * (ahead - same) +
+              turn_ns * (same + 1) / class_share(admit, arrive->priority);
+    bound_ns = turn_ns * (same + 1) * HR_ADMIT_STARVATION_STARTS;
+    return wait_ns < bound_ns ? wait_ns : bound_ns;
 }
 
 /* Returns the most entries of one caller that may wait. */
