--- a/src/coord-admit.c
+++ b/src/coord-admit.c
@@ -147,6 +147,17 @@
         SERVICE_WEIGHT * (fabs(distance_ns) - admit->service_deviation_ns);
 }
 
+/* Returns true if an entry that could start now is likely to take a place in
+ * vain. Without others that wait for the place there is nothing to lose. */
+static bool
+is_hopeless(const HrAdmit *admit, const HrAdmitEntry *entry, int64_t now_ns)
+{
+    if (admit->queue.waiting <= 1) {
+        return now_ns >= entry->deadline_ns;
+    }
+    return now_ns + (int64_t)needed_service_ns(admit) > entry->deadline_ns;
+}
+
 /* Starts waiting entries while there are places. Entries that cannot finish
  * in time are refused instead, so that no place is spent on them. */
 static void
@@ -159,7 +170,7 @@
         if (entry == NULL) {
             return;
         }
-        if (now_ns + (int64_t)needed_service_ns(admit) > entry->deadline_ns) {
+        if (is_hopeless(admit, entry, now_ns)) {
             drop_waiting(admit, entry, HR_REASON_DEADLINE);
             continue;
         }
@@ -188,6 +199,13 @@
                : share;
 }
 
+/* Returns true if an arrival would start at once. */
+static bool
+has_free_place(const HrAdmit *admit)
+{
+    return admit->running < admit->config.places && admit->queue.waiting == 0;
+}
+
 /* Estimates how long an arrival would wait for a place: until the entries
  * before it are served, or until the bound on starvation serves its class. */
 static double
@@ -197,9 +215,8 @@
     uint32_t same, ahead;
     double turn_ns, wait_ns, bound_ns;
 
-    if (admit->config.places == 0 ||
-        (admit->running < admit->config.places && admit->queue.waiting == 0)) {
-        return 0; /* without places nothing is known of the wait */
+    if (admit->config.places == 0) {
+        return 0; /* nothing is known of the wait */
     }
     ahead = HrAdmitQueue_Ahead(&admit->queue, arrive->priority, caller, &same);
     turn_ns = admit->mean_service_ns / admit->config.places;
@@ -252,6 +269,9 @@
     if (arrive->deadline_ns <= now_ns) {
         return HR_REASON_DEADLINE;
     }
+    if (has_free_place(admit)) {
+        return HR_REASON_NONE;
+    }
     finish_ns += estimate_wait_ns(admit, arrive, caller);
     if (finish_ns > (double)arrive->deadline_ns) {
         return HR_REASON_OVERLOADED;
--- a/tests/common-sched-sim.h
+++ b/tests/common-sched-sim.h
@@ -161,6 +161,7 @@
     SimSub *subs;
     uint32_t sub_count;
     uint32_t sub_room;
+    SimCall *on_direct_answer; /* told the job; may be NULL */
     uint64_t attempts;
     uint64_t false_answers; /* answers that no server gave */
     uint64_t slot_excess;   /* arrivals at a server without a free slot */
@@ -804,14 +805,18 @@
 
 /* Gives the answer of a job to the naive router. */
 static inline void
-sim_answer_direct(Sim *sim, const SimJob *job)
+sim_answer_direct(Sim *sim, uint32_t index)
 {
+    const SimJob *job = &sim->jobs[index];
     SimSub *sub = &sim->subs[job->sub];
 
     sub->answers++;
     sub->answered_ns = sim->now_ns;
     sub->outcome = job->outcome == HR_BACKEND_ANSWERED ? HR_OUTCOME_ANSWERED
                                                        : HR_OUTCOME_DECLINED;
+    if (sim->on_direct_answer != NULL) {
+        sim->on_direct_answer(sim, index);
+    }
 }
 
 /* Gives the answer of a job to the daemon, with faults. */
@@ -823,7 +828,7 @@
     uint32_t sched = job->sched;
 
     if (sched == UINT32_MAX) {
-        sim_answer_direct(sim, job);
+        sim_answer_direct(sim, index);
         return;
     }
     if (job->ended_at_daemon ||
