--- a/src/coord-sched-attempt.c
+++ b/src/coord-sched-attempt.c
@@ -201,7 +201,7 @@
 static bool
 leave_live(HrSchedAttempt *attempt)
 {
-    if (!attempt->is_live) {
+    if (!attempt->is_live || attempt->sub == NULL) {
         return false;
     }
     attempt->is_live = false;
@@ -225,13 +225,14 @@
     HrSchedServer_Refresh(sched, server, now_ns);
 }
 
-/* Appends the action that cancels an attempt. */
+/* Appends the action that cancels an attempt of a sub-request. */
 static void
-append_cancel(HrSched *sched, HrSchedAttempt *attempt, bool close_connection)
+append_cancel(HrSched *sched, HrSchedAttempt *attempt, const HrSchedSub *sub,
+              bool close_connection)
 {
     HrSchedCancelAttempt cancel = {
         .attempt_id = attempt->id,
-        .query = attempt->sub->request.query,
+        .query = sub->request.query,
         .server = attempt->server->name,
         .address = attempt->server->address,
         .close_connection = close_connection,
@@ -266,11 +267,13 @@
 HrSchedAttempt_Cancel(HrSched *sched, HrSchedAttempt *attempt,
                       bool close_connection, int64_t now_ns)
 {
+    const HrSchedSub *sub = attempt->sub;
+
     leave_live(attempt);
-    if (attempt->was_cancelled) {
+    if (attempt->was_cancelled || sub == NULL) {
         return;
     }
-    append_cancel(sched, attempt, close_connection);
+    append_cancel(sched, attempt, sub, close_connection);
     if (close_connection) {
         note_given_up(sched, attempt, now_ns);
     }
@@ -471,8 +474,8 @@
     bool is_late = now_ns >= attempt->deadline_ns;
     HrReason reason = is_late ? HR_REASON_DEADLINE : HR_REASON_CONNECTION;
 
-    if (!attempt->was_cancelled) {
-        append_cancel(sched, attempt, false);
+    if (!attempt->was_cancelled && attempt->sub != NULL) {
+        append_cancel(sched, attempt, attempt->sub, false);
         if (is_late) {
             note_given_up(sched, attempt, now_ns);
         }
--- a/src/coord-sched-int.h
+++ b/src/coord-sched-int.h
@@ -69,7 +69,8 @@
     TAILQ_ENTRY(HrSchedSub) in_ready;
     TAILQ_ENTRY(HrSchedSub) in_hedges;
     SLIST_ENTRY(HrSchedSub) in_graveyard;
-    LIST_HEAD(, HrSchedAttempt) attempts; /* that are not detached */
+    LIST_HEAD(HrSchedAttemptList, HrSchedAttempt)
+    attempts; /* that are not detached */
     HrTimer timer;
     HrSchedNode answer;
     HrSubRequest request;
@@ -168,7 +169,7 @@
     HrSelect select;
     HrLatency latency; /* of all servers */
     HrTimerSet timers;
-    STAILQ_HEAD(, HrSchedNode) actions;
+    STAILQ_HEAD(HrSchedNodeList, HrSchedNode) actions;
     HrSchedNode refusal; /* of a sub-request that is not held */
     struct HrSchedSubTree subs;
     struct HrSchedAttemptTree attempts;
@@ -192,9 +193,9 @@
     uint64_t attempts_by_kind[HR_ATTEMPT_RETRY + 1];
     uint64_t sheds;
     /* Freed once the actions that refer to them are popped. */
-    SLIST_HEAD(, HrSchedSub) dead_subs;
-    SLIST_HEAD(, HrSchedAttempt) dead_attempts;
-    SLIST_HEAD(, HrSchedServer) dead_servers;
+    SLIST_HEAD(HrSchedDeadSubs, HrSchedSub) dead_subs;
+    SLIST_HEAD(HrSchedDeadAttempts, HrSchedAttempt) dead_attempts;
+    SLIST_HEAD(HrSchedDeadServers, HrSchedServer) dead_servers;
 };
 
 /* coord-sched.c */
--- a/src/coord-sched-retry.c
+++ b/src/coord-sched-retry.c
@@ -177,7 +177,8 @@
 {
     HrSchedSub *sub, *next;
 
-    TAILQ_FOREACH_SAFE (sub, &sched->hedges, in_hedges, next) {
+    for (sub = TAILQ_FIRST(&sched->hedges); sub != NULL; sub = next) {
+        next = TAILQ_NEXT(sub, in_hedges);
         if (sched->select.free_count == 0) {
             return;
         }
@@ -219,7 +220,8 @@
     HrSchedAttempt *attempt;
     bool any = false;
 
-    LIST_FOREACH (attempt, &sub->attempts, in_sub) {
+    for (attempt = LIST_FIRST(&sub->attempts); attempt != NULL;
+         attempt = LIST_NEXT(attempt, in_sub)) {
         if (attempt->is_live && attempt->silent_ns <= now_ns &&
             give_up_silent(sched, sub, attempt, now_ns)) {
             any = true;
--- a/src/coord-sched.h
+++ b/src/coord-sched.h
@@ -168,14 +168,14 @@
 
 typedef struct HrSchedSendAttempt {
     uint64_t attempt_id; /* unique for all attempts of this HrSched */
-    HrAttemptKind kind;
     const char *server;
     const char *address;
     const HrSubRequest *request;
-    int64_t deadline_ns;   /* of the attempt; the query's, less a margin */
+    int64_t deadline_ns; /* of the attempt; the query's, less a margin */
+    HrAttemptKind kind;
     bool fresh_connection; /* open a new one; do not use an idle one */
-    bool close_idle;       /* close an idle connection to the server first,
-                              so that the daemon's share is not exceeded */
+    bool close_idle;       /* close the idle connections to the server first:
+                              they may be dead, or exceed the share */
 } HrSchedSendAttempt;
 
 typedef struct HrSchedCancelAttempt {
--- a/src/coord-timers.h
+++ b/src/coord-timers.h
@@ -10,11 +10,11 @@
 /* One pending time of an object; embedded in it. A zeroed timer is not set. */
 typedef struct HrTimer {
     RB_ENTRY(HrTimer) link;
+    bool is_set;
+    int kind; /* of the owner; chosen by the user of the set */
+    void *owner;
     int64_t time_ns;
     uint64_t sequence; /* orders timers of the same time */
-    int kind;          /* of the owner; chosen by the user of the set */
-    void *owner;
-    bool is_set;
 } HrTimer;
 
 /* Timers ordered by time, then by the order in which they were set. */
--- a/src/proto-backend.c
+++ b/src/proto-backend.c
@@ -12,7 +12,7 @@
 #define HTTP_OK 200
 #define HTTP_UNAVAILABLE 503
 
-#define ID_DIGITS 16
+#define ID_DIGITS ((size_t)16)
 #define QUERY_ID_LENGTH (3 * ID_DIGITS + 2)
 
 /* Appends a header line. Returns 0 or HR_ERR_INVALID if it is too long. */
@@ -139,8 +139,9 @@
 
     if (!json_is_string(member) || json_string_length(member) == 0 ||
         strlen(json_string_value(member)) != json_string_length(member)) {
-        return HrError_Set(err, HR_ERR_PROTOCOL,
-                           "%s of a server's answer is no text", name);
+        HrError_Set(err, HR_ERR_PROTOCOL, "%s of a server's answer is no text",
+                    name);
+        return HR_ERR_PROTOCOL;
     }
     *value = json_string_value(member);
     return HR_OK;
@@ -151,7 +152,7 @@
 parse_hex64(const char *text, uint64_t *value)
 {
     char digits[ID_DIGITS + 1];
-    int i;
+    size_t i;
 
     for (i = 0; i < ID_DIGITS; i++) {
         if (!isxdigit((unsigned char)text[i])) {
