Count a group as overloaded from twice its slots of queue

Hedges and retries were disabled while the queue was longer than the slots. In a group of three servers with two slots, two queries of three shards each are enough for that, and the stragglers of every burst went unhedged.

--- a/src/coord-sched-sub.c
+++ b/src/coord-sched-sub.c
@@ -8,6 +8,11 @@
  * a certain version, let others pass until there are this many. */
 #define MAX_BLOCKED 64
 
+/* The group is overloaded while its queue is longer than this many times its
+ * slots. With a factor of 1, two queries at once counted as overload in a
+ * group of six slots, and their stragglers were not hedged. */
+#define OVERLOAD_FACTOR 2
+
 /* Orders query ids. */
 static int
 compare_queries(const HrQueryId *left, const HrQueryId *right)
@@ -407,8 +412,9 @@
     }
     event.u.places.queue_limit = sched->policy.queue_limit;
     HrAdmit_Handle(sched->admit, &event);
-    HrBudget_SetOverloaded(&sched->budget, HrAdmit_Waiting(sched->admit) >
-                                               sched->usable_slots);
+    HrBudget_SetOverloaded(&sched->budget,
+                           HrAdmit_Waiting(sched->admit) >
+                               OVERLOAD_FACTOR * sched->usable_slots);
 }
 
 /* Starts what the queue and the free slots allow. */
