--- a/src/coord-sched-int.h
+++ b/src/coord-sched-int.h
@@ -67,8 +67,10 @@
 struct HrSchedSub {
     RB_ENTRY(HrSchedSub) by_key;
     TAILQ_ENTRY(HrSchedSub) in_ready;
+    TAILQ_ENTRY(HrSchedSub) in_hedges;
     SLIST_ENTRY(HrSchedSub) in_graveyard;
-    LIST_HEAD(, HrSchedAttempt) attempts; /* that are not detached */
+    LIST_HEAD(HrSchedAttemptList, HrSchedAttempt)
+    attempts; /* that are not detached */
     HrTimer timer;
     HrSchedNode answer;
     HrSubRequest request;
@@ -83,9 +85,11 @@
     uint32_t not_started_count; /* attempts that ended without a start */
     HrReason reason;            /* of the last attempt that failed */
     bool is_hedged;
-    bool needs_token; /* the retry may repeat work and takes a token */
-    bool must_open;   /* the retry uses a fresh connection */
-    bool is_blocked;  /* no free server suits it */
+    bool awaits_hedge; /* in the list of hedges that wait for a slot */
+    bool needs_token;  /* the retry may repeat work */
+    bool has_token;    /* and the token for it is taken */
+    bool must_open;    /* the retry uses a fresh connection */
+    bool is_blocked;   /* no free server suits it */
 };
 
 struct HrSchedAttempt {
@@ -165,7 +169,7 @@
     HrSelect select;
     HrLatency latency; /* of all servers */
     HrTimerSet timers;
-    STAILQ_HEAD(, HrSchedNode) actions;
+    STAILQ_HEAD(HrSchedNodeList, HrSchedNode) actions;
     HrSchedNode refusal; /* of a sub-request that is not held */
     struct HrSchedSubTree subs;
     struct HrSchedAttemptTree attempts;
@@ -173,7 +177,8 @@
     HrSchedServer **servers;
     uint32_t server_count;
     struct HrSchedReadyList ready[HR_ADMIT_CLASSES];
-    uint32_t ready_count; /* without the blocked ones */
+    struct HrSchedReadyList hedges; /* late already; served first */
+    uint32_t ready_count;           /* without the blocked ones */
     uint32_t blocked_count;
     uint32_t open_count;
     uint32_t attempt_count;
@@ -188,9 +193,9 @@
     uint64_t attempts_by_kind[HR_ATTEMPT_RETRY + 1];
     uint64_t sheds;
     /* Freed once the actions that refer to them are popped. */
-    SLIST_HEAD(, HrSchedSub) dead_subs;
-    SLIST_HEAD(, HrSchedAttempt) dead_attempts;
-    SLIST_HEAD(, HrSchedServer) dead_servers;
+    SLIST_HEAD(HrSchedDeadSubs, HrSchedSub) dead_subs;
+    SLIST_HEAD(HrSchedDeadAttempts, HrSchedAttempt) dead_attempts;
+    SLIST_HEAD(HrSchedDeadServers, HrSchedServer) dead_servers;
 };
 
 /* coord-sched.c */
@@ -248,7 +253,7 @@
 int HrSchedAttempt_Send(HrSched *sched, HrSchedSub *sub, HrSchedServer *server,
                         HrAttemptKind kind, int64_t now_ns);
 
-/* Cancels an attempt; with close_connection it counts as silent. */
+/* Cancels an attempt; with close_connection it is given up as silent. */
 void HrSchedAttempt_Cancel(HrSched *sched, HrSchedAttempt *attempt,
                            bool close_connection, int64_t now_ns);
 
@@ -282,6 +287,12 @@
 /* Sends a hedge to another replica if budget and servers allow it. */
 void HrSchedRetry_Hedge(HrSched *sched, HrSchedSub *sub, int64_t now_ns);
 
+/* Sends the hedges that waited for a slot. */
+void HrSchedRetry_DispatchHedges(HrSched *sched, int64_t now_ns);
+
+/* Takes a sub-request out of the hedges that wait, if it is there. */
+void HrSchedRetry_ForgetHedge(HrSched *sched, HrSchedSub *sub);
+
 /* Returns when a first attempt that is sent now is to be hedged. */
 int64_t HrSchedRetry_HedgeTime(HrSched *sched, const HrSchedSub *sub,
                                int64_t now_ns);
--- a/src/coord-sched-retry.c
+++ b/src/coord-sched-retry.c
@@ -3,9 +3,16 @@
 #define HEDGE_MIN_WAIT_NS (1 * HR_NS_PER_MS)
 #define HEDGE_MIN_SAMPLES 20
 
+/* A hedge that finds no token is tried again after this time: often, because
+ * it is late already. */
+#define HEDGE_POSTPONE_NS (HR_NS_PER_MS / 2)
+
 /* Below this level of the budget, hedges wait for longer, so that the tokens
  * go to the slowest requests. */
-#define LOW_BUDGET 0.5
+#define LOW_BUDGET 0.9
+
+/* A silent attempt that cannot be replaced yet is looked at again. */
+#define SILENT_POSTPONE_NS (2 * HR_NS_PER_MS)
 
 /* Bound of the random delay before the first retry; doubled for each one. */
 #define RETRY_BASE_NS (1 * HR_NS_PER_MS)
@@ -108,28 +115,104 @@
     return wait_ns == HR_TIME_NEVER ? HR_TIME_NEVER : now_ns + wait_ns;
 }
 
+/* Returns true if the sub-request may still be hedged. */
+static bool
+may_hedge(const HrSched *sched, const HrSchedSub *sub)
+{
+    return sub->request.idempotent && !sub->is_hedged && sub->live == 1 &&
+           sched->role.kind != HR_SCHED_ROLE_NONE &&
+           sub->attempt_count < HR_SCHED_MAX_ATTEMPTS;
+}
+
+/* Makes the sub-request wait for a slot for its hedge. */
+static void
+await_hedge(HrSched *sched, HrSchedSub *sub)
+{
+    if (!sub->awaits_hedge) {
+        sub->awaits_hedge = true;
+        TAILQ_INSERT_TAIL(&sched->hedges, sub, in_hedges);
+    }
+}
+
+/* Takes a sub-request out of the hedges that wait, if it is there. */
+void
+HrSchedRetry_ForgetHedge(HrSched *sched, HrSchedSub *sub)
+{
+    if (sub->awaits_hedge) {
+        sub->awaits_hedge = false;
+        TAILQ_REMOVE(&sched->hedges, sub, in_hedges);
+    }
+}
+
 /* Sends a hedge to another replica if budget and servers allow it. */
 void
 HrSchedRetry_Hedge(HrSched *sched, HrSchedSub *sub, int64_t now_ns)
 {
     HrSchedServer *server;
 
-    if (!sub->request.idempotent || sub->is_hedged || sub->live != 1 ||
-        sched->role.kind == HR_SCHED_ROLE_NONE ||
-        sub->attempt_count >= HR_SCHED_MAX_ATTEMPTS) {
-        sub->hedge_ns = HR_TIME_NEVER;
+    sub->hedge_ns = HR_TIME_NEVER;
+    if (!may_hedge(sched, sub)) {
+        HrSchedRetry_ForgetHedge(sched, sub);
         return;
     }
     server = HrSchedChoice_Find(sched, sub, true, now_ns);
-    if (server == NULL || !HrBudget_Take(&sched->budget)) {
-        sub->hedge_ns = HrSchedRetry_HedgeTime(sched, sub, now_ns);
+    if (server == NULL) {
+        await_hedge(sched, sub);
+        return;
+    }
+    HrSchedRetry_ForgetHedge(sched, sub);
+    if (!HrBudget_TakeForHedge(&sched->budget)) {
+        sub->hedge_ns = now_ns + HEDGE_POSTPONE_NS;
+        HrSchedSub_Arm(sched, sub);
         return;
     }
     sub->is_hedged = true;
-    sub->hedge_ns = HR_TIME_NEVER;
     HrSchedAttempt_Send(sched, sub, server, HR_ATTEMPT_HEDGE, now_ns);
 }
 
+/* Sends the hedges that waited for a slot, except before waiting requests of
+ * a higher class. The budget bounds what this takes from others. */
+void
+HrSchedRetry_DispatchHedges(HrSched *sched, int64_t now_ns)
+{
+    HrSchedSub *sub, *next;
+
+    for (sub = TAILQ_FIRST(&sched->hedges); sub != NULL; sub = next) {
+        next = TAILQ_NEXT(sub, in_hedges);
+        if (sched->select.free_count == 0) {
+            return;
+        }
+        if (!HrAdmit_HasWaitingAbove(sched->admit, sub->request.priority)) {
+            HrSchedRetry_Hedge(sched, sub, now_ns);
+        }
+    }
+}
+
+/* Takes the token for a retry, unless it is taken already. Returns false when
+ * there is none. */
+static bool
+take_retry_token(HrSched *sched, HrSchedSub *sub)
+{
+    if (!sub->has_token) {
+        sub->has_token = HrBudget_TakeForRetry(&sched->budget);
+    }
+    return sub->has_token;
+}
+
+/* Gives up an attempt as silent. Without a token for a retry it is better to
+ * wait on, in case it is only slow. Returns true if it was given up. */
+static bool
+give_up_silent(HrSched *sched, HrSchedSub *sub, HrSchedAttempt *attempt,
+               int64_t now_ns)
+{
+    if (sub->live == 1 && !take_retry_token(sched, sub)) {
+        attempt->silent_ns = now_ns + SILENT_POSTPONE_NS;
+        return false;
+    }
+    HrSchedAttempt_Cancel(sched, attempt, true, now_ns);
+    return true;
+}
+
 /* Gives up the silent attempts of a sub-request and retries it. */
 static void
 handle_silent(HrSched *sched, HrSchedSub *sub, int64_t now_ns)
@@ -137,9 +220,10 @@
     HrSchedAttempt *attempt;
     bool any = false;
 
-    LIST_FOREACH (attempt, &sub->attempts, in_sub) {
-        if (attempt->is_live && attempt->silent_ns <= now_ns) {
-            HrSchedAttempt_Cancel(sched, attempt, true, now_ns);
+    for (attempt = LIST_FIRST(&sub->attempts); attempt != NULL;
+         attempt = LIST_NEXT(attempt, in_sub)) {
+        if (attempt->is_live && attempt->silent_ns <= now_ns &&
+            give_up_silent(sched, sub, attempt, now_ns)) {
             any = true;
         }
     }
@@ -153,7 +237,7 @@
 static void
 handle_retry(HrSched *sched, HrSchedSub *sub, int64_t now_ns)
 {
-    if (sub->needs_token && !HrBudget_Take(&sched->budget)) {
+    if (sub->needs_token && !take_retry_token(sched, sub)) {
         delay_retry(sched, sub, now_ns);
         return;
     }
--- a/src/coord-sched-sub.c
+++ b/src/coord-sched-sub.c
@@ -8,6 +8,11 @@
  * a certain version, let others pass until there are this many. */
 #define MAX_BLOCKED 64
 
+/* The group is overloaded while its queue is longer than this many times its
+ * slots. With a factor of 1, two queries at once counted as overload in a
+ * group of six slots, and their stragglers were not hedged. */
+#define OVERLOAD_FACTOR 2
+
 /* Orders query ids. */
 static int
 compare_queries(const HrQueryId *left, const HrQueryId *right)
@@ -191,6 +196,7 @@
     sub->answer.action.u.sub_answer.version = sub->request.version;
     HrSched_Append(sched, &sub->answer);
     HrSchedSub_LeaveReady(sched, sub);
+    HrSchedRetry_ForgetHedge(sched, sub);
     HrSchedAttempt_Detach(sched, sub, now_ns);
     leave_admission(sched, sub, answer->outcome == HR_OUTCOME_ANSWERED,
                     now_ns);
@@ -406,8 +412,9 @@
     }
     event.u.places.queue_limit = sched->policy.queue_limit;
     HrAdmit_Handle(sched->admit, &event);
-    HrBudget_SetOverloaded(&sched->budget, HrAdmit_Waiting(sched->admit) >
-                                               sched->usable_slots);
+    HrBudget_SetOverloaded(&sched->budget,
+                           HrAdmit_Waiting(sched->admit) >
+                               OVERLOAD_FACTOR * sched->usable_slots);
 }
 
 /* Starts what the queue and the free slots allow. */
@@ -419,6 +426,7 @@
     }
     drain_admission(sched, now_ns);
     do {
+        HrSchedRetry_DispatchHedges(sched, now_ns);
         dispatch_ready(sched, now_ns);
         update_places(sched, now_ns);
     } while (drain_admission(sched, now_ns));
