--- a/bench/bench-member.c
+++ b/bench/bench-member.c
@@ -45,6 +45,7 @@
     Event *heap;
     uint32_t heap_count;
     uint64_t order;
+    bool split;          /* region 0 is cut off from the others */
     uint64_t watched_id; /* a crashed daemon */
     uint32_t gone_count; /* daemons that know of it */
     int64_t first_gone_ns;
@@ -124,6 +125,7 @@
 send_message(Cluster *cluster, uint32_t from, const HrMemberAction *action)
 {
     const HrMemberMessage *message = &action->u.send.message;
+    uint32_t to = find_daemon(action->u.send.address);
     size_t size = message->update_count * sizeof(HrMember);
     Packet *packet = talloc_size(cluster, sizeof(Packet) + size);
     HrBytes bytes;
@@ -136,8 +138,11 @@
     cluster->daemons[from].bytes += bytes.length_bytes + 8;
     cluster->daemons[from].messages++;
     talloc_free((void *)bytes.data);
-    push_event(cluster, cluster->now_ns + LATENCY_NS,
-               find_daemon(action->u.send.address), packet);
+    if (cluster->split && (from % 4 == 0) != (to % 4 == 0)) {
+        talloc_free(packet);
+        return;
+    }
+    push_event(cluster, cluster->now_ns + LATENCY_NS, to, packet);
 }
 
 /* Notes that a daemon knows of the crash that is watched. */
@@ -412,6 +417,47 @@
     print_traffic(cluster, "replacing", 40.0 * crashes);
 }
 
+/* Returns how many daemons of a sample see every daemon. */
+static uint32_t
+count_complete(Cluster *cluster, uint32_t sample)
+{
+    uint32_t i, complete = 0;
+
+    for (i = 0; i < sample; i++) {
+        HrMemberView *view = HrMembership_View(
+            cluster->daemons[i * cluster->count / sample].module, NULL);
+
+        complete += view->member_count == cluster->count;
+        talloc_free(view);
+    }
+    return complete;
+}
+
+/* Measures how one region of four finds the others again after it was cut off
+ * for longer than dead members are remembered. */
+static void
+measure_rejoin(Cluster *cluster)
+{
+    uint32_t sample = cluster->count < 40 ? cluster->count : 40;
+    int64_t healed_ns;
+
+    cluster->split = true;
+    run_for(cluster, 180 * HR_NS_PER_S);
+    print_for(cluster, "complete_views_while_split", "daemons of the sample",
+              count_complete(cluster, sample), 0);
+    cluster->split = false;
+    healed_ns = cluster->now_ns;
+    reset_counts(cluster);
+    while (count_complete(cluster, sample) < sample &&
+           cluster->now_ns - healed_ns < 300 * HR_NS_PER_S) {
+        run_for(cluster, HR_NS_PER_S);
+    }
+    print_for(cluster, "rejoin_complete", "s",
+              (double)(cluster->now_ns - healed_ns) / 1e9, NAN);
+    print_traffic(cluster, "rejoin",
+                  (double)(cluster->now_ns - healed_ns) / 1e9);
+}
+
 int
 main(void)
 {
@@ -423,6 +469,7 @@
 
         measure_quiet(cluster);
         measure_crashes(cluster);
+        measure_rejoin(cluster);
         talloc_free(cluster);
     }
     return 0;
