--- a/bench/bench-owner.c
+++ b/bench/bench-owner.c
@@ -6,7 +6,7 @@
 #include <talloc.h>
 
 #include "base-rng.h"
-#include "coord-owner.h"
+#include "coord-owner-index.h"
 #include "result-line.h"
 
 #define SEED 2026
@@ -84,7 +84,39 @@
     print_result(full, unit, value, baseline, SEED);
 }
 
-/* Measures the time to rank the candidates of one group. */
+/* Measures the time to rank the candidates of one group with an index of the
+ * view. The baselines are those of the view itself. */
+static void
+measure_index_cost(const HrMemberView *view, const Group *groups,
+                   double view_ns)
+{
+    uint32_t i, rounds = 20000000 / (view->member_count + 50) + 100;
+    HrOwnerIndex *index = HrOwnerIndex_Create(NULL, view);
+    uint64_t ids[HR_OWNER_CANDIDATES];
+    int64_t start_ns = processor_ns();
+    volatile uint64_t sink = 0;
+    double each_ns;
+
+    for (i = 0; i < rounds; i++) {
+        const Group *group = &groups[i % GROUPS];
+
+        HrOwnerIndex_Candidates(index, "pool", group->name, &group->prefer,
+                                ids, HR_OWNER_CANDIDATES);
+        sink = sink + ids[0];
+    }
+    each_ns = (double)(processor_ns() - start_ns) / rounds;
+    print_for(view->member_count, "index_rank_one_group", "ns", each_ns,
+              view_ns);
+    print_for(view->member_count, "index_rank_all_groups", "ms",
+              each_ns * GROUPS / 1e6, view_ns * GROUPS / 1e6);
+    start_ns = processor_ns();
+    talloc_free(HrOwnerIndex_Create(NULL, view));
+    print_for(view->member_count, "index_create", "us",
+              (double)(processor_ns() - start_ns) / 1e3, NAN);
+    talloc_free(index);
+}
+
+/* Measures the time to rank the candidates of one group with a view. */
 static void
 measure_cost(const HrMemberView *view, const Group *groups)
 {
@@ -100,6 +132,7 @@
     print_for(view->member_count, "rank_one_group", "ns", each_ns, NAN);
     print_for(view->member_count, "rank_all_groups", "ms",
               each_ns * GROUPS / 1e6, NAN);
+    measure_index_cost(view, groups, each_ns);
 }
 
 /* Measures the share of groups that move when one member is lost. The
--- a/src/coord-owner.c
+++ b/src/coord-owner.c
@@ -2,56 +2,13 @@
 
 #include <string.h>
 
-#include "base-rng.h"
-
-/* Each use hashes with another seed, so that the pool home of "a" is not also
- * the owner of every other thing named "a". */
-enum {
-    SEED_GROUP = 1,
-    SEED_POOL = 2,
-    SEED_PARTITION = 3,
-    SEED_READER = 4,
-    SEED_REQUEST = 5,
-};
-
-/* The rank of one member: a higher tier wins, then the higher score, then the
- * lower id. */
-typedef struct Rank {
-    uint32_t tier;
-    uint64_t score;
-    uint64_t daemon_id;
-} Rank;
-
-/* Mixes all bits of a value (the finalizer of MurmurHash3). */
-static uint64_t
-mix_bits(uint64_t value)
-{
-    value ^= value >> 33;
-    value *= UINT64_C(0xff51afd7ed558ccd);
-    value ^= value >> 33;
-    value *= UINT64_C(0xc4ceb9fe1a85ec53);
-    value ^= value >> 33;
-    return value;
-}
+#include "coord-owner-rank.h"
 
 /* Returns the rendezvous score of a member for a key. */
 static uint64_t
 score_member(uint64_t key, uint64_t daemon_id)
 {
-    return mix_bits(key ^ mix_bits(daemon_id));
-}
-
-/* Returns true if left ranks before right. */
-static bool
-rank_before(const Rank *left, const Rank *right)
-{
-    if (left->tier != right->tier) {
-        return left->tier > right->tier;
-    }
-    if (left->score != right->score) {
-        return left->score > right->score;
-    }
-    return left->daemon_id < right->daemon_id;
+    return HrOwner_Mix(key ^ HrOwner_Mix(daemon_id));
 }
 
 /* Returns true if a data centre is among the preferred ones. */
@@ -81,25 +38,6 @@
     return is_preferred(prefer, member->data_centre) ? tier + 1 : tier;
 }
 
-/* Inserts a rank into the sorted best ones; returns the new count. */
-static uint32_t
-insert_rank(Rank *best, uint32_t count, uint32_t limit, Rank rank)
-{
-    uint32_t i;
-
-    if (count == limit) {
-        if (limit == 0 || !rank_before(&rank, &best[count - 1])) {
-            return count;
-        }
-        count--;
-    }
-    for (i = count; i > 0 && rank_before(&rank, &best[i - 1]); i--) {
-        best[i] = best[i - 1];
-    }
-    best[i] = rank;
-    return count + 1;
-}
-
 /* Fills ids with the best members for a key, of one data centre if only is
  * not NULL. */
 static uint32_t
@@ -107,15 +45,15 @@
              const HrOwnerPreference *prefer, const char *only, uint64_t *ids,
              uint32_t limit)
 {
-    Rank best[HR_OWNER_CANDIDATES * 2] = {{0}};
+    HrOwnerRank best[HR_OWNER_RANK_MAX] = {{0}};
     uint32_t i, count = 0;
 
-    if (limit > HR_OWNER_CANDIDATES * 2) {
-        limit = HR_OWNER_CANDIDATES * 2;
+    if (limit > HR_OWNER_RANK_MAX) {
+        limit = HR_OWNER_RANK_MAX;
     }
     for (i = 0; i < view->member_count; i++) {
         const HrMember *member = &view->members[i];
-        Rank rank = {.daemon_id = member->daemon_id};
+        HrOwnerRank rank = {.daemon_id = member->daemon_id};
 
         if (member->state == HR_MEMBER_DEAD ||
             (only != NULL && strcmp(only, member->data_centre) != 0)) {
@@ -123,7 +61,7 @@
         }
         rank.tier = find_tier(member, prefer);
         rank.score = score_member(key, member->daemon_id);
-        count = insert_rank(best, count, limit, rank);
+        count = HrOwnerRank_Insert(best, count, limit, rank);
     }
     for (i = 0; i < count; i++) {
         ids[i] = best[i].daemon_id;
@@ -148,7 +86,7 @@
                    const char *group, const HrOwnerPreference *prefer,
                    uint64_t *ids, uint32_t limit)
 {
-    uint64_t key = HrHash_String(group, HrHash_String(pool, SEED_GROUP));
+    uint64_t key = HrOwner_GroupKey(pool, group);
 
     return rank_members(view, key, prefer, NULL, ids, limit);
 }
@@ -178,14 +116,14 @@
 uint64_t
 HrOwner_PoolHome(const HrMemberView *view, const char *pool)
 {
-    return first_member(view, HrHash_String(pool, SEED_POOL));
+    return first_member(view, HrHash_String(pool, HR_OWNER_SEED_POOL));
 }
 
 /* Returns the claim partition of a request id. */
 uint32_t
 HrOwner_ClaimPartition(const char *request_id)
 {
-    return (uint32_t)(HrHash_String(request_id, SEED_REQUEST) %
+    return (uint32_t)(HrHash_String(request_id, HR_OWNER_SEED_REQUEST) %
                       HR_CLAIM_PARTITIONS);
 }
 
@@ -194,8 +132,9 @@
 uint64_t
 HrOwner_PartitionOwner(const HrMemberView *view, uint32_t partition)
 {
-    return first_member(view,
-                        mix_bits((uint64_t)SEED_PARTITION << 32 | partition));
+    return first_member(
+        view,
+        HrOwner_Mix((uint64_t)HR_OWNER_SEED_PARTITION << 32 | partition));
 }
 
 /* Fills ids with at most limit daemons of a data centre that read the store.
@@ -204,8 +143,8 @@
 HrOwner_StoreReaders(const HrMemberView *view, const char *data_centre,
                      uint64_t *ids, uint32_t limit)
 {
-    return rank_members(view, HrHash_String(data_centre, SEED_READER), NULL,
-                        data_centre, ids, limit);
+    return rank_members(view, HrHash_String(data_centre, HR_OWNER_SEED_READER),
+                        NULL, data_centre, ids, limit);
 }
 
 /* Returns the member with an id, or NULL. */
--- a/tests/test-owner.c
+++ b/tests/test-owner.c
@@ -8,9 +8,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <talloc.h>
 
 #include "base-rng.h"
-#include "coord-owner.h"
+#include "coord-owner-index.h"
 
 #define SEED 20261
 
@@ -139,6 +140,38 @@
     assert_in_range(moved, 10, 80);
 }
 
+/* Guards against an index that ranks differently from the view: the entry
+ * daemon and the scheduling daemon may use either. */
+static void
+test_index_ranks_like_view(void **state)
+{
+    static const char *const names[] = {"dc1", "nowhere"};
+    const HrOwnerPreference prefer = {names, 2};
+    HrRng rng = HrRng_FromSeed(SEED + 1);
+    HrMember members[60];
+    HrMemberView view = {0};
+    char group[16];
+    uint32_t round, i;
+
+    for (round = 0; round < 2000; round++) {
+        uint64_t ids[4] = {0}, indexed_ids[4] = {0};
+        HrOwnerIndex *index;
+
+        fill_view(&view, members, 1 + (uint32_t)HrRng_Below(&rng, 60));
+        for (i = 0; i < view.member_count; i++) {
+            members[i].state = (HrMemberState)HrRng_Below(&rng, 4);
+        }
+        index = HrOwnerIndex_Create(NULL, &view);
+        snprintf(group, sizeof(group), "g%u", round);
+        assert_int_equal(
+            HrOwner_Candidates(&view, "pool", group, &prefer, ids, 4),
+            HrOwnerIndex_Candidates(index, "pool", group, &prefer, indexed_ids,
+                                    4));
+        assert_memory_equal(ids, indexed_ids, sizeof(ids));
+        talloc_free(index);
+    }
+}
+
 /* Guards against store readers outside the data centre. */
 static void
 test_store_readers(void **state)
@@ -174,6 +207,7 @@
         cmocka_unit_test(test_preferred_data_centres_first),
         cmocka_unit_test(test_states),
         cmocka_unit_test(test_only_groups_of_the_lost_member_move),
+        cmocka_unit_test(test_index_ranks_like_view),
         cmocka_unit_test(test_store_readers),
         cmocka_unit_test(test_partitions_are_fixed),
     };
