--- a/src/coord-member-probe.c
+++ b/src/coord-member-probe.c
@@ -40,6 +40,7 @@
     }
     message.sender = membership->self;
     message.view_digest = HrMemberTable_Digest(membership);
+    message.member_count = membership->live_count + 1;
     queued->action.u.send.message = message;
     queued->action.u.send.daemon_id =
         node != NULL ? node->record.daemon_id : 0;
--- a/src/coord-member-table.h
+++ b/src/coord-member-table.h
@@ -96,8 +96,9 @@
     uint32_t round_next;
     uint64_t probe_number;
     int64_t next_probe_ns;
-    int64_t next_list_ns;   /* a full list may be asked for again */
-    int64_t next_urgent_ns; /* the same, after a rejoin */
+    int64_t next_list_ns;  /* a full list may be asked for again */
+    int64_t next_retry_ns; /* the same if it surely brings something */
+    int64_t next_serve_ns; /* a full list may be sent again */
     uint64_t last_sequence;
     HrMemberProbe probe;
     HrMemberRelay relays[HR_MEMBER_RELAYS];
--- a/src/coord-member.c
+++ b/src/coord-member.c
@@ -28,7 +28,8 @@
     membership->popped = NULL;
 }
 
-/* Returns the time until a full list may be asked for again. */
+/* Returns the time until a full list is asked for again only because the
+ * digests differ. In a large cluster they often do, while updates spread. */
 static int64_t
 list_pause(HrMembership *membership)
 {
@@ -40,22 +41,27 @@
            (int64_t)HrRng_Below(&membership->rng, (uint64_t)pause_ns / 4 + 1);
 }
 
-/* Asks a member for its full list if the views differ and the last time is
- * long enough ago. Lists repair what the passing on of updates has missed. */
+/* Asks a member for its full list if the views differ. Lists repair what the
+ * passing on of updates has missed, let a new daemon know the others, and
+ * join the parts of a cluster after a partition: there a member that was not
+ * known, or one that knows clearly more members, is asked soon. */
 static void
 compare_views(HrMembership *membership, const HrMemberMessage *message,
-              bool rejoined)
+              bool known)
 {
     HrMemberMessage request = {.kind = HR_MEMBER_MESSAGE_LIST_REQUEST};
+    uint32_t own_count = membership->live_count + 1;
+    bool promising =
+        !known || message->member_count > own_count + own_count / 50;
     int64_t now_ns = membership->now_ns;
-    bool due = now_ns >= membership->next_list_ns ||
-               (rejoined && now_ns >= membership->next_urgent_ns);
 
-    if (!due || message->view_digest == HrMemberTable_Digest(membership)) {
+    if (message->view_digest == HrMemberTable_Digest(membership) ||
+        now_ns < membership->next_retry_ns ||
+        (!promising && now_ns < membership->next_list_ns)) {
         return;
     }
+    membership->next_retry_ns = now_ns + membership->config.list_retry_ns;
     membership->next_list_ns = now_ns + list_pause(membership);
-    membership->next_urgent_ns = now_ns + membership->config.list_interval_ns;
     HrMembership_Send(
         membership, HrMemberTable_Find(membership, message->sender.daemon_id),
         message->sender.peer_address, request, false);
@@ -84,7 +90,9 @@
     }
 }
 
-/* Sends the full list, dead members included, in pages. */
+/* Sends the full list, dead members included, in pages. A request that comes
+ * too soon after the last one is dropped: after a partition everybody asks,
+ * and others can answer too. */
 static void
 handle_list_request(HrMembership *membership, const HrMemberMessage *request)
 {
@@ -92,6 +100,12 @@
     HrMemberNode *node;
     uint32_t count = 0;
 
+    if (membership->now_ns < membership->next_serve_ns) {
+        return;
+    }
+    membership->next_serve_ns =
+        membership->now_ns + membership->config.serve_per_member_ns *
+                                 (int64_t)membership->live_count;
     for (node = membership->nodes; node != NULL; node = node->by_id.next) {
         records[count++] = node->record;
         if (count == HR_MEMBER_PAGE) {
@@ -104,15 +118,14 @@
     }
 }
 
-/* Merges the records that a message carries; yields whether its sender was
- * thought to be dead, or this daemon knew nobody. */
+/* Merges the records that a message carries; returns whether its sender was a
+ * live member before. */
 static bool
 merge_message(HrMembership *membership, const HrMemberMessage *message)
 {
     HrMemberNode *node =
         HrMemberTable_Find(membership, message->sender.daemon_id);
-    bool rejoined = membership->live_count == 0 ||
-                    (node != NULL && node->record.state == HR_MEMBER_DEAD);
+    bool known = node != NULL && node->record.state != HR_MEMBER_DEAD;
     HrMemberSource source = message->kind == HR_MEMBER_MESSAGE_LIST
                                 ? HR_MEMBER_SOURCE_LIST
                                 : HR_MEMBER_SOURCE_UPDATE;
@@ -122,29 +135,29 @@
     for (i = 0; i < message->update_count && i < HR_MEMBER_PAGE; i++) {
         HrMemberTable_Merge(membership, &message->updates[i], source);
     }
-    return rejoined;
+    return known;
 }
 
 /* Handles a message from another daemon. */
 static void
 handle_message(HrMembership *membership, const HrMemberMessage *message)
 {
-    bool rejoined;
+    bool known;
 
     if (message->sender.daemon_id == membership->self.daemon_id ||
         message->sender.daemon_id == 0 ||
         message->sender.peer_address[0] == '\0') {
         return;
     }
-    rejoined = merge_message(membership, message);
+    known = merge_message(membership, message);
     switch (message->kind) {
     case HR_MEMBER_MESSAGE_PROBE:
         HrMembership_HandleProbe(membership, message);
-        compare_views(membership, message, rejoined);
+        compare_views(membership, message, known);
         break;
     case HR_MEMBER_MESSAGE_ACK:
         HrMembership_HandleAck(membership, message);
-        compare_views(membership, message, rejoined);
+        compare_views(membership, message, known);
         break;
     case HR_MEMBER_MESSAGE_PROBE_REQUEST:
         HrMembership_HandleProbeRequest(membership, message);
@@ -201,10 +214,12 @@
     config->retransmit_factor = 3;
     config->dead_keep_ns = 60 * HR_NS_PER_S;
     config->outside_probe_every = 10;
-    /* A full list of 1,900 members is about 170 KB; one in 105 s adds under
-     * 2 KB/s. */
+    /* A full list of 1,900 members is about 170 KB: one in 105 s takes under
+     * 2 KB/s. After a partition a daemon sends one in 2 s for a while. */
+    config->list_retry_ns = 2 * HR_NS_PER_S;
     config->list_interval_ns = 10 * HR_NS_PER_S;
     config->list_per_member_ns = 50 * HR_NS_PER_MS;
+    config->serve_per_member_ns = HR_NS_PER_MS;
     config->vm_list_lag_ns = 60 * HR_NS_PER_S;
 }
 
--- a/src/coord-member.h
+++ b/src/coord-member.h
@@ -24,11 +24,12 @@
 /* A message between the membership modules of two daemons. */
 typedef struct HrMemberMessage {
     HrMemberMessageKind kind;
-    uint64_t sequence;    /* chosen by the prober, repeated in the ACK */
-    HrMember sender;      /* the sender's own record */
-    uint64_t view_digest; /* equal views have equal digests */
-    uint64_t target_id;   /* PROBE, PROBE_REQUEST: 0 when not known */
-    uint64_t subject_id;  /* ACK: the daemon that answered the probe */
+    uint64_t sequence;     /* chosen by the prober, repeated in the ACK */
+    HrMember sender;       /* the sender's own record */
+    uint64_t view_digest;  /* equal views have equal digests */
+    uint32_t member_count; /* in the sender's view */
+    uint64_t target_id;    /* PROBE, PROBE_REQUEST: 0 when not known */
+    uint64_t subject_id;   /* ACK: the daemon that answered the probe */
     char target_address[HR_ADDRESS_BYTES]; /* PROBE_REQUEST */
     const HrMember *updates;               /* at most HR_MEMBER_PAGE */
     uint32_t update_count;
@@ -46,10 +47,14 @@
     int64_t dead_keep_ns;         /* how long a dead member is remembered */
     uint32_t outside_probe_every; /* 1 in so many probes goes to a dead
                                      member or a seed */
-    int64_t list_interval_ns;     /* least time between two full lists */
-    int64_t list_per_member_ns;   /* added to it for each member */
-    int64_t vm_list_lag_ns;       /* how old the platform's list may be */
-    HrCounters *counters;         /* may be NULL */
+    int64_t list_retry_ns;       /* least time between two requests for a list,
+                                    by a daemon that knows fewer members */
+    int64_t list_interval_ns;    /* the same when only the digests differ */
+    int64_t list_per_member_ns;  /* added to that for each member */
+    int64_t serve_per_member_ns; /* least time between two lists that are
+                                    sent, for each member */
+    int64_t vm_list_lag_ns;      /* how old the platform's list may be */
+    HrCounters *counters;        /* may be NULL */
 } HrMemberConfig;
 
 /* One VM of the platform's list. */
--- a/src/proto-member-codec.c
+++ b/src/proto-member-codec.c
@@ -67,6 +67,7 @@
     packed.sequence = message->sequence;
     packed.sender = &sender;
     packed.view_digest = message->view_digest;
+    packed.member_count = message->member_count;
     packed.target_id = message->target_id;
     packed.subject_id = message->subject_id;
     packed.target_address = (char *)message->target_address;
@@ -191,6 +192,7 @@
     message->kind = (HrMemberMessageKind)packed->kind;
     message->sequence = packed->sequence;
     message->view_digest = packed->view_digest;
+    message->member_count = packed->member_count;
     message->target_id = packed->target_id;
     message->subject_id = packed->subject_id;
     rc = copy_text(message->target_address, sizeof(message->target_address),
--- a/src/proto-member.pb-c.c
+++ b/src/proto-member.pb-c.c
@@ -226,7 +226,7 @@
   (ProtobufCMessageInit) hickory__member_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor hickory__member_message__field_descriptors[8] =
+static const ProtobufCFieldDescriptor hickory__member_message__field_descriptors[9] =
 {
   {
     "kind",
@@ -324,9 +324,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "member_count",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Hickory__MemberMessage, member_count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned hickory__member_message__field_indices_by_name[] = {
   0,   /* field[0] = kind */
+  8,   /* field[8] = member_count */
   2,   /* field[2] = sender */
   1,   /* field[1] = sequence */
   5,   /* field[5] = subject_id */
@@ -338,7 +351,7 @@
 static const ProtobufCIntRange hickory__member_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor hickory__member_message__descriptor =
 {
@@ -348,7 +361,7 @@
   "Hickory__MemberMessage",
   "hickory",
   sizeof(Hickory__MemberMessage),
-  8,
+  9,
   hickory__member_message__field_descriptors,
   hickory__member_message__field_indices_by_name,
   1,  hickory__member_message__number_ranges,
--- a/src/proto-member.pb-c.h
+++ b/src/proto-member.pb-c.h
@@ -45,6 +45,7 @@
 {
   ProtobufCMessage base;
   uint32_t kind;
+  uint32_t member_count;
   uint64_t sequence;
   Hickory__MemberRecord *sender;
   uint64_t view_digest;
@@ -56,7 +57,7 @@
 };
 #define HICKORY__MEMBER_MESSAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&hickory__member_message__descriptor) \
-    , 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, 0, NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /* Hickory__MemberRecord methods */
--- a/tests/test-member-codec.c
+++ b/tests/test-member-codec.c
@@ -58,6 +58,7 @@
     message.sequence = HrRng_Next(rng);
     message.sender = random_member(rng);
     message.view_digest = HrRng_Next(rng);
+    message.member_count = (uint32_t)HrRng_Next(rng);
     message.target_id = HrRng_Next(rng);
     message.subject_id = HrRng_Next(rng);
     fill_text(rng, message.target_address, HR_ADDRESS_BYTES);
@@ -106,6 +107,7 @@
         assert_int_equal(got.kind, sent.kind);
         assert_int_equal(got.sequence, sent.sequence);
         assert_int_equal(got.view_digest, sent.view_digest);
+        assert_int_equal(got.member_count, sent.member_count);
         assert_int_equal(got.target_id, sent.target_id);
         assert_int_equal(got.subject_id, sent.subject_id);
         assert_string_equal(got.target_address, sent.target_address);
