--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -507,6 +507,67 @@
         HrCounters_Get(&rig->counters, HR_COUNTER_members_refused), 3);
 }
 
+/* Returns the number of list pages that a request for the full list yields. */
+static uint32_t
+ask_list(Rig *rig)
+{
+    uint32_t pages = 0;
+
+    discard_actions(rig);
+    receive(rig, HR_MEMBER_MESSAGE_LIST_REQUEST,
+            make_member(1, HR_MEMBER_ALIVE, 1), NULL);
+    while (find_send(rig, HR_MEMBER_MESSAGE_LIST)) {
+        pages++;
+    }
+    return pages;
+}
+
+/* Guards against a daemon that sends its full list to everybody at once after
+ * a partition. */
+static void
+test_lists_are_limited(void **state)
+{
+    Rig *rig = create_rig(state);
+
+    assert_int_equal(ask_list(rig), 1);
+    assert_int_equal(ask_list(rig), 0);
+    rig->now_ns += 4 * MILLI;
+    assert_int_equal(ask_list(rig), 1);
+}
+
+/* Gives the module a probe of a member that knows so many members. */
+static bool
+asks_for_list(Rig *rig, uint64_t id, uint32_t member_count)
+{
+    HrMemberEvent event = {.kind = HR_MEMBER_EVENT_MESSAGE};
+    HrMemberMessage message = {.kind = HR_MEMBER_MESSAGE_PROBE};
+
+    discard_actions(rig);
+    message.sender = make_member(id, HR_MEMBER_ALIVE, 1);
+    message.member_count = member_count;
+    event.u.message = &message;
+    handle(rig, event);
+    return find_send(rig, HR_MEMBER_MESSAGE_LIST_REQUEST);
+}
+
+/* Guards against parts of a cluster that stay apart, and against lists that
+ * are asked for again and again because the digests differ for a while. */
+static void
+test_asks_for_lists(void **state)
+{
+    Rig *rig = create_rig(state);
+
+    /* More than the pause of 10.2 s and a quarter of it. */
+    rig->now_ns += 20 * SECOND;
+    assert_true(asks_for_list(rig, 1, 5));
+    assert_false(asks_for_list(rig, 2, 9));
+    rig->now_ns += 2 * SECOND;
+    assert_false(asks_for_list(rig, 1, 5));
+    assert_true(asks_for_list(rig, 2, 9));
+    rig->now_ns += 2 * SECOND;
+    assert_true(asks_for_list(rig, 77, 1));
+}
+
 /* Runs a fleet for a time. */
 static void
 run_for(HrMembers *members, int64_t duration_ns)
@@ -632,6 +693,8 @@
         TEST(test_missing_from_list),
         TEST(test_leaving_member_stops),
         TEST(test_malformed_records),
+        TEST(test_lists_are_limited),
+        TEST(test_asks_for_lists),
         TEST(test_rejoin_after_long_partition),
         TEST(test_resumes_after_pause),
         TEST(test_loss_evicts_nobody),
