--- a/src/coord-admit.c
+++ b/src/coord-admit.c
@@ -407,6 +407,20 @@
     return admit->queue.waiting;
 }
 
+/* Returns true if an entry of a higher class than priority waits. */
+bool
+HrAdmit_HasWaitingAbove(const HrAdmit *admit, uint32_t priority)
+{
+    uint32_t i;
+
+    for (i = 0; i < priority && i < HR_ADMIT_CLASSES; i++) {
+        if (admit->queue.classes[i].waiting > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Fills the figures. */
 void
 HrAdmit_GetStats(const HrAdmit *admit, HrAdmitStats *stats)
--- a/src/coord-admit.h
+++ b/src/coord-admit.h
@@ -112,6 +112,9 @@
 /* Returns the number of entries that wait. */
 uint32_t HrAdmit_Waiting(const HrAdmit *admit);
 
+/* Returns true if an entry of a higher class than priority waits. */
+bool HrAdmit_HasWaitingAbove(const HrAdmit *admit, uint32_t priority);
+
 /* Fills the figures. */
 void HrAdmit_GetStats(const HrAdmit *admit, HrAdmitStats *stats);
 
--- a/src/coord-sched-int.h
+++ b/src/coord-sched-int.h
@@ -67,6 +67,7 @@
 struct HrSchedSub {
     RB_ENTRY(HrSchedSub) by_key;
     TAILQ_ENTRY(HrSchedSub) in_ready;
+    TAILQ_ENTRY(HrSchedSub) in_hedges;
     SLIST_ENTRY(HrSchedSub) in_graveyard;
     LIST_HEAD(, HrSchedAttempt) attempts; /* that are not detached */
     HrTimer timer;
@@ -83,9 +84,10 @@
     uint32_t not_started_count; /* attempts that ended without a start */
     HrReason reason;            /* of the last attempt that failed */
     bool is_hedged;
-    bool needs_token; /* the retry may repeat work and takes a token */
-    bool must_open;   /* the retry uses a fresh connection */
-    bool is_blocked;  /* no free server suits it */
+    bool awaits_hedge; /* in the list of hedges that wait for a slot */
+    bool needs_token;  /* the retry may repeat work and takes a token */
+    bool must_open;    /* the retry uses a fresh connection */
+    bool is_blocked;   /* no free server suits it */
 };
 
 struct HrSchedAttempt {
@@ -173,7 +175,8 @@
     HrSchedServer **servers;
     uint32_t server_count;
     struct HrSchedReadyList ready[HR_ADMIT_CLASSES];
-    uint32_t ready_count; /* without the blocked ones */
+    struct HrSchedReadyList hedges; /* late already; served first */
+    uint32_t ready_count;           /* without the blocked ones */
     uint32_t blocked_count;
     uint32_t open_count;
     uint32_t attempt_count;
@@ -282,6 +285,12 @@
 /* Sends a hedge to another replica if budget and servers allow it. */
 void HrSchedRetry_Hedge(HrSched *sched, HrSchedSub *sub, int64_t now_ns);
 
+/* Sends the hedges that waited for a slot. */
+void HrSchedRetry_DispatchHedges(HrSched *sched, int64_t now_ns);
+
+/* Takes a sub-request out of the hedges that wait, if it is there. */
+void HrSchedRetry_ForgetHedge(HrSched *sched, HrSchedSub *sub);
+
 /* Returns when a first attempt that is sent now is to be hedged. */
 int64_t HrSchedRetry_HedgeTime(HrSched *sched, const HrSchedSub *sub,
                                int64_t now_ns);
--- a/src/coord-sched-retry.c
+++ b/src/coord-sched-retry.c
@@ -3,6 +3,10 @@
 #define HEDGE_MIN_WAIT_NS (1 * HR_NS_PER_MS)
 #define HEDGE_MIN_SAMPLES 20
 
+/* A hedge that finds no token is tried again after this time: often, because
+ * it is late already. */
+#define HEDGE_POSTPONE_NS (HR_NS_PER_MS / 2)
+
 /* Below this level of the budget, hedges wait for longer, so that the tokens
  * go to the slowest requests. */
 #define LOW_BUDGET 0.5
@@ -108,28 +112,78 @@
     return wait_ns == HR_TIME_NEVER ? HR_TIME_NEVER : now_ns + wait_ns;
 }
 
+/* Returns true if the sub-request may still be hedged. */
+static bool
+may_hedge(const HrSched *sched, const HrSchedSub *sub)
+{
+    return sub->request.idempotent && !sub->is_hedged && sub->live == 1 &&
+           sched->role.kind != HR_SCHED_ROLE_NONE &&
+           sub->attempt_count < HR_SCHED_MAX_ATTEMPTS;
+}
+
+/* Makes the sub-request wait for a slot for its hedge. */
+static void
+await_hedge(HrSched *sched, HrSchedSub *sub)
+{
+    if (!sub->awaits_hedge) {
+        sub->awaits_hedge = true;
+        TAILQ_INSERT_TAIL(&sched->hedges, sub, in_hedges);
+    }
+}
+
+/* Takes a sub-request out of the hedges that wait, if it is there. */
+void
+HrSchedRetry_ForgetHedge(HrSched *sched, HrSchedSub *sub)
+{
+    if (sub->awaits_hedge) {
+        sub->awaits_hedge = false;
+        TAILQ_REMOVE(&sched->hedges, sub, in_hedges);
+    }
+}
+
 /* Sends a hedge to another replica if budget and servers allow it. */
 void
 HrSchedRetry_Hedge(HrSched *sched, HrSchedSub *sub, int64_t now_ns)
 {
     HrSchedServer *server;
 
-    if (!sub->request.idempotent || sub->is_hedged || sub->live != 1 ||
-        sched->role.kind == HR_SCHED_ROLE_NONE ||
-        sub->attempt_count >= HR_SCHED_MAX_ATTEMPTS) {
-        sub->hedge_ns = HR_TIME_NEVER;
+    sub->hedge_ns = HR_TIME_NEVER;
+    if (!may_hedge(sched, sub)) {
+        HrSchedRetry_ForgetHedge(sched, sub);
         return;
     }
     server = HrSchedChoice_Find(sched, sub, true, now_ns);
-    if (server == NULL || !HrBudget_Take(&sched->budget)) {
-        sub->hedge_ns = HrSchedRetry_HedgeTime(sched, sub, now_ns);
+    if (server == NULL) {
+        await_hedge(sched, sub);
+        return;
+    }
+    HrSchedRetry_ForgetHedge(sched, sub);
+    if (!HrBudget_Take(&sched->budget)) {
+        sub->hedge_ns = now_ns + HEDGE_POSTPONE_NS;
+        HrSchedSub_Arm(sched, sub);
         return;
     }
     sub->is_hedged = true;
-    sub->hedge_ns = HR_TIME_NEVER;
     HrSchedAttempt_Send(sched, sub, server, HR_ATTEMPT_HEDGE, now_ns);
 }
 
+/* Sends the hedges that waited for a slot, except before waiting requests of
+ * a higher class. The budget bounds what this takes from others. */
+void
+HrSchedRetry_DispatchHedges(HrSched *sched, int64_t now_ns)
+{
+    HrSchedSub *sub, *next;
+
+    TAILQ_FOREACH_SAFE (sub, &sched->hedges, in_hedges, next) {
+        if (sched->select.free_count == 0) {
+            return;
+        }
+        if (!HrAdmit_HasWaitingAbove(sched->admit, sub->request.priority)) {
+            HrSchedRetry_Hedge(sched, sub, now_ns);
+        }
+    }
+}
+
 /* Gives up the silent attempts of a sub-request and retries it. */
 static void
 handle_silent(HrSched *sched, HrSchedSub *sub, int64_t now_ns)
--- a/src/coord-sched-sub.c
+++ b/src/coord-sched-sub.c
@@ -191,6 +191,7 @@
     sub->answer.action.u.sub_answer.version = sub->request.version;
     HrSched_Append(sched, &sub->answer);
     HrSchedSub_LeaveReady(sched, sub);
+    HrSchedRetry_ForgetHedge(sched, sub);
     HrSchedAttempt_Detach(sched, sub, now_ns);
     leave_admission(sched, sub, answer->outcome == HR_OUTCOME_ANSWERED,
                     now_ns);
@@ -419,6 +420,7 @@
     }
     drain_admission(sched, now_ns);
     do {
+        HrSchedRetry_DispatchHedges(sched, now_ns);
         dispatch_ready(sched, now_ns);
         update_places(sched, now_ns);
     } while (drain_admission(sched, now_ns));
--- a/src/coord-sched.c
+++ b/src/coord-sched.c
@@ -15,7 +15,7 @@
 
 /* While the budget is low, only this part of the requests that the quantile
  * would hedge are hedged: the slowest ones. */
-#define LATE_HEDGE_SHARE 0.3
+#define LATE_HEDGE_SHARE 0.5
 
 #define EXPECTED_SERVICE_NS (1 * HR_NS_PER_MS)
 
@@ -76,6 +76,7 @@
     for (i = 0; i < HR_ADMIT_CLASSES; i++) {
         TAILQ_INIT(&sched->ready[i]);
     }
+    TAILQ_INIT(&sched->hedges);
     HrTimerSet_Init(&sched->timers);
     HrSelect_Init(&sched->select);
 }
