--- a/bench/bench-config.c
+++ b/bench/bench-config.c
@@ -477,6 +477,13 @@
     fflush(stdout);
 }
 
+/* Converts a duration to milliseconds. */
+static double
+to_ms(int64_t duration_ns)
+{
+    return (double)duration_ns / (double)HR_NS_PER_MS;
+}
+
 /* Measures the time to spread 20 edits, and store calls without edits. The
  * baselines are the limit of 6 s, and 16 readers that call every 2 s. */
 static void
@@ -504,10 +511,10 @@
         }
     }
     qsort(times, EDITS, sizeof(times[0]), compare_ns);
-    print_value("config_spread_median", daemons, "ms",
-                (double)times[EDITS / 2] / HR_NS_PER_MS, LIMIT_SPREAD_MS);
-    print_value("config_spread_max", daemons, "ms",
-                (double)times[EDITS - 1] / HR_NS_PER_MS, LIMIT_SPREAD_MS);
+    print_value("config_spread_median", daemons, "ms", to_ms(times[EDITS / 2]),
+                LIMIT_SPREAD_MS);
+    print_value("config_spread_max", daemons, "ms", to_ms(times[EDITS - 1]),
+                LIMIT_SPREAD_MS);
     world->store_calls = 0;
     run(world, world->now_ns + 60 * HR_NS_PER_S, false);
     print_value("config_store_calls", daemons, "calls/s",
@@ -581,8 +588,8 @@
     print_value("config_store_value", 1, "bytes", (double)strlen(text),
                 HR_STORE_VALUE_MAX_BYTES);
     /* The baseline is 1.7% of a core between two edits. */
-    print_value("config_read_cpu", 1, "ms", (double)start_ns / HR_NS_PER_MS,
-                0.017 * (double)edit_interval_ns / HR_NS_PER_MS);
+    print_value("config_read_cpu", 1, "ms", to_ms(start_ns),
+                0.017 * to_ms(edit_interval_ns));
     talloc_free(copy);
     talloc_free(tables);
 }
--- a/src/coord-config-internal.h
+++ b/src/coord-config-internal.h
@@ -54,7 +54,7 @@
     HrConfigPeers peers;
     HrConfigAlarm alarm;
     HrError alarm_error;
-    STAILQ_HEAD(, HrConfigQueued) queue;
+    STAILQ_HEAD(HrConfigQueue, HrConfigQueued) queue;
     HrConfigQueued *popped; /* kept until the next call */
 };
 
--- a/tests/common-operator.c
+++ b/tests/common-operator.c
@@ -264,7 +264,7 @@
     int i, wait_status;
     pid_t pid;
 
-    for (i = 0; arguments[i] != NULL && i < 62; i++) {
+    for (i = 0; i < 62 && arguments[i] != NULL; i++) {
         argv[i + 1] = (char *)arguments[i];
     }
     posix_spawn_file_actions_init(&actions);
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -95,28 +95,26 @@
 /* Runs hickoryctl with the first daemon, the token and more arguments. No
  * output may contain the token. */
 static CtlRun
-run(Fixture *fixture, const char *first, ...)
+run_words(Fixture *fixture, const char *const *words)
 {
     const char *arguments[40] = {"--daemon",     fixture->first->address,
                                  "--token-file", fixture->token_file,
                                  "--operator",   "ann"};
-    const char *argument;
-    int count = 6;
-    va_list list;
     CtlRun result;
+    int i;
 
-    va_start(list, first);
-    for (argument = first; argument != NULL && count < 39;
-         argument = va_arg(list, const char *)) {
-        arguments[count++] = argument;
+    for (i = 0; i < 33 && words[i] != NULL; i++) {
+        arguments[6 + i] = words[i];
     }
-    va_end(list);
     result = Ctl_Run(fixture, fixture->loop, arguments);
     assert_null(strstr(result.out, FAKE_TOKEN));
     assert_null(strstr(result.err, FAKE_TOKEN));
     return result;
 }
 
+#define run(fixture, ...)                                                     \
+    run_words(fixture, (const char *const[]){__VA_ARGS__, NULL})
+
 /* Asserts the exit status; prints the output when it differs. */
 static void
 assert_status(CtlRun result, int status)
@@ -143,11 +141,11 @@
 {
     assert_status(run(fixture, "pools", "set", "desk", "slots=5",
                       "connections=40", "server.s1=10.0.0.1:80,dc1,g1",
-                      "server.s2=10.0.0.2:80,dc2,g1", NULL),
+                      "server.s2=10.0.0.2:80,dc2,g1"),
                   DONE);
     assert_status(run(fixture, "routes", "set", "search", "kind=search.*",
                       "pool=desk", "finish=enough", "enough_percent=80",
-                      "objective_latency_target=0.995", NULL),
+                      "objective_latency_target=0.995"),
                   DONE);
 }
 
@@ -164,18 +162,18 @@
     assert_int_equal(fixture->first->tables->pools[0].server_count, 2);
     assert_string_equal(fixture->first->tables->edits[1].operator_name, "ann");
     assert_status(run(fixture, "pools", "set", "desk",
-                      "server.s1.leaving=true", "server.s2=", NULL),
+                      "server.s1.leaving=true", "server.s2="),
                   DONE);
     assert_int_equal(fixture->first->tables->pools[0].server_count, 1);
     assert_true(fixture->first->tables->pools[0].servers[0].leaving);
-    result = run(fixture, "routes", "get", NULL);
+    result = run(fixture, "routes", "get");
     assert_status(result, DONE);
     assert_contains(result.out, "revision 3");
     assert_contains(result.out, "search.*");
-    result = run(fixture, "pools", "get", "desk", NULL);
+    result = run(fixture, "pools", "get", "desk");
     assert_contains(result.out, "10.0.0.1:80");
-    assert_status(run(fixture, "pools", "get", "disk", NULL), FAILED);
-    result = run(fixture, "routes", "history", NULL);
+    assert_status(run(fixture, "pools", "get", "disk"), FAILED);
+    result = run(fixture, "routes", "history");
     assert_contains(result.out, "set route search");
 }
 
@@ -187,11 +185,11 @@
     CtlRun result;
 
     make_rows(fixture);
-    result = run(fixture, "pools", "delete", "desk", NULL);
+    result = run(fixture, "pools", "delete", "desk");
     assert_status(result, FAILED);
     assert_contains(result.err, "there is no pool \"desk\"");
-    assert_status(run(fixture, "routes", "delete", "search", NULL), DONE);
-    assert_status(run(fixture, "pools", "delete", "desk", NULL), DONE);
+    assert_status(run(fixture, "routes", "delete", "search"), DONE);
+    assert_status(run(fixture, "pools", "delete", "desk"), DONE);
     assert_int_equal(fixture->first->tables->pool_count, 0);
 }
 
@@ -204,10 +202,10 @@
     CtlRun result;
 
     make_rows(fixture);
-    result = run(fixture, "--json", "routes", "get", NULL);
+    result = run(fixture, "--json", "routes", "get");
     write_file(fixture->file, result.out);
-    assert_status(run(fixture, "routes", "diff", fixture->file, NULL), DONE);
-    result = run(fixture, "routes", "apply", fixture->file, NULL);
+    assert_status(run(fixture, "routes", "diff", fixture->file), DONE);
+    result = run(fixture, "routes", "apply", fixture->file);
     assert_status(result, DONE);
     assert_contains(result.out, "already");
     assert_int_equal(fixture->first->edits, 2);
@@ -215,11 +213,11 @@
     write_file(fixture->file,
                "{\"routes\":[{\"name\":\"other\",\"kind\":\"x\","
                "\"pool\":\"desk\"}]}");
-    result = run(fixture, "routes", "diff", fixture->file, NULL);
+    result = run(fixture, "routes", "diff", fixture->file);
     assert_status(result, DIFFERENT);
     assert_contains(result.out, "- route search");
     assert_contains(result.out, "+ route other");
-    assert_status(run(fixture, "routes", "apply", fixture->file, NULL), DONE);
+    assert_status(run(fixture, "routes", "apply", fixture->file), DONE);
     assert_int_equal(fixture->first->tables->route_count, 1);
     assert_string_equal(fixture->first->tables->routes[0].name, "other");
 }
@@ -236,7 +234,7 @@
     write_file(fixture->file,
                "{\"routes\":[{\"name\":\"other\",\"kind\":\"x\","
                "\"pool\":\"desk\",\"priority\":9}]}");
-    result = run(fixture, "routes", "apply", fixture->file, NULL);
+    result = run(fixture, "routes", "apply", fixture->file);
     assert_status(result, USAGE);
     assert_contains(result.err, fixture->file);
     assert_contains(result.err, "\"priority\": value 9");
@@ -276,8 +274,7 @@
 
     make_rows(fixture);
     for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
-        CtlRun result = run(fixture, cases[i][0], cases[i][1], cases[i][2],
-                            cases[i][3], cases[i][4], NULL);
+        CtlRun result = run_words(fixture, cases[i]);
 
         if (result.status != USAGE) {
             print_message("case %zu\n", i);
@@ -324,11 +321,11 @@
     make_rows(fixture);
     fixture->first->lose_edit_reply = true;
     result = run(fixture, "--edit-id", "my-edit", "routes", "set", "search",
-                 "priority=1", NULL);
+                 "priority=1");
     assert_status(result, UNKNOWN);
     assert_contains(result.err, "--edit-id my-edit");
     result = run(fixture, "--edit-id", "my-edit", "--based-on", "2", "routes",
-                 "set", "search", "priority=1", NULL);
+                 "set", "search", "priority=1");
     assert_status(result, DONE);
     assert_contains(result.out, "earlier copy");
     assert_int_equal(fixture->first->edits, 3);
@@ -370,21 +367,21 @@
     daemon->edit = "{\"result\":\"conflict\",\"revision\":5,\"error\":\"rows "
                    "changed\",\"changes\":[{\"edit_id\":\"e9\",\"revision\":5,"
                    "\"operator\":\"ben\",\"time_ms\":1,\"summary\":\"x\"}]}";
-    result = run(fixture, "routes", "set", "search", "priority=1", NULL);
+    result = run(fixture, "routes", "set", "search", "priority=1");
     assert_status(result, CONFLICT);
     assert_contains(result.err, "ben");
     daemon->edit_status = 200;
     daemon->edit = "{\"result\":\"refused\",\"error\":\"run hickoryctl "
                    "restore\"}";
-    result = run(fixture, "routes", "set", "search", "priority=1", NULL);
+    result = run(fixture, "routes", "set", "search", "priority=1");
     assert_status(result, FAILED);
     assert_contains(result.err, "hickoryctl restore");
     daemon->edit = "{\"result\":\"unknown\",\"error\":\"no answer\"}";
-    result = run(fixture, "routes", "set", "search", "priority=1", NULL);
+    result = run(fixture, "routes", "set", "search", "priority=1");
     assert_status(result, UNKNOWN);
     assert_contains(result.err, "--edit-id");
     daemon->edit = "{\"result\":\"accepted\",\"revision\":1050}";
-    result = run(fixture, "restore", NULL);
+    result = run(fixture, "restore");
     assert_status(result, DONE);
     assert_contains(result.out, "1050");
     assert_string_equal(daemon->last_path, "/v1/tables/restore");
@@ -401,13 +398,12 @@
     make_rows(fixture);
     fixture->first->lag_polls = 2;
     fixture->second->in_force = 3;
-    result =
-        run(fixture, "--wait", "routes", "set", "search", "priority=1", NULL);
+    result = run(fixture, "--wait", "routes", "set", "search", "priority=1");
     assert_status(result, DONE);
     assert_contains(result.out, "revision 3 in force on 2 of 2 daemons");
     assert_int_equal(fixture->first->lag_polls, 0);
     result = run(fixture, "--wait", "--timeout", "500", "routes", "set",
-                 "search", "priority=2", NULL);
+                 "search", "priority=2");
     assert_status(result, WAITING);
     assert_contains(result.out, "revision 4 in force on 1 of 2 daemons");
     assert_contains(result.out, fixture->second->address);
@@ -426,22 +422,22 @@
                              "\"spare\":40},\"tasks\":[{\"name\":\"sched\","
                              "\"depth\":3}]}";
     fixture->second->report = "{\"state\":\"draining\"}";
-    result = run(fixture, "status", NULL);
+    result = run(fixture, "status");
     assert_status(result, DONE);
     assert_contains(result.out, "state: ready?[31m");
     assert_contains(result.out, "load.spare: 40");
     assert_contains(result.out, "sched  3");
-    result = run(fixture, "--all", "queues", NULL);
+    result = run(fixture, "--all", "queues");
     assert_status(result, DONE);
     assert_contains(result.out, "draining");
-    result = run(fixture, "-d", "127.0.0.1:1", "claims", NULL);
+    result = run(fixture, "-d", "127.0.0.1:1", "claims");
     assert_status(result, UNREACHABLE);
     assert_contains(result.err, "127.0.0.1:1");
-    result = run(fixture, "--json", "--all", "connections", NULL);
+    result = run(fixture, "--json", "--all", "connections");
     assert_status(result, DONE);
     assert_contains(result.out, fixture->second->address);
     fixture->first->report = "[]";
-    result = run(fixture, "servers", NULL);
+    result = run(fixture, "servers");
     assert_status(result, FAILED);
     assert_contains(result.err, "operator listener");
 }
@@ -453,8 +449,8 @@
     Fixture *fixture = *state;
 
     fixture->first->report = "{\"route\":\"search\"}";
-    assert_status(
-        run(fixture, "explain", "--kind", "a&b", "--key", "x y", NULL), DONE);
+    assert_status(run(fixture, "explain", "--kind", "a&b", "--key", "x y"),
+                  DONE);
     assert_string_equal(fixture->first->last_path, "/v1/explain");
     assert_string_equal(fixture->first->last_kind, "a&b");
     assert_string_equal(fixture->first->last_key, "x y");
@@ -473,7 +469,7 @@
     fixture->first->report = "{\"status\":\"complete\",\"coverage\":1}";
     result = run(fixture, "query", "--caller", address, "--kind", "search.x",
                  "--key", "k", "--payload", "{\"n\":1}", "--deadline-ms", "50",
-                 "--want", "complete", NULL);
+                 "--want", "complete");
     assert_status(result, DONE);
     body = json_loads(fixture->first->last_body, 0, NULL);
     assert_int_equal(json_integer_value(json_object_get(
@@ -485,19 +481,16 @@
                         "complete");
     json_decref(body);
     fixture->first->report = "{\"status\":\"partial\"}";
-    assert_status(
-        run(fixture, "query", "--caller", address, "--kind", "x", NULL),
-        DIFFERENT);
+    assert_status(run(fixture, "query", "--caller", address, "--kind", "x"),
+                  DIFFERENT);
     fixture->first->report = "{\"status\":\"refused\"}";
-    assert_status(
-        run(fixture, "query", "--caller", address, "--kind", "x", NULL),
-        FAILED);
+    assert_status(run(fixture, "query", "--caller", address, "--kind", "x"),
+                  FAILED);
     fixture->first->report = "{\"status\":\"unknown\"}";
-    assert_status(
-        run(fixture, "query", "--caller", address, "--kind", "x", NULL),
-        UNKNOWN);
+    assert_status(run(fixture, "query", "--caller", address, "--kind", "x"),
+                  UNKNOWN);
     assert_status(run(fixture, "query", "--caller", address, "--kind", "x",
-                      "--payload", "{", NULL),
+                      "--payload", "{"),
                   USAGE);
 }
 
@@ -533,19 +526,19 @@
 
     fixture->first->burn = make_burn(fixture, 0);
     fixture->second->burn = make_burn(fixture, 2);
-    result = run(fixture, "burn", NULL);
+    result = run(fixture, "burn");
     assert_status(result, DONE);
     assert_contains(result.out, "2 daemons");
     assert_contains(result.out, "burn rate 1.00 (5 min) 1.00 (60 min)");
     assert_contains(result.out, "route search, pool desk");
     fixture->second->burn = make_burn(fixture, 60);
-    result = run(fixture, "burn", NULL);
+    result = run(fixture, "burn");
     assert_status(result, BURN);
     assert_contains(result.out, "TOO FAST");
-    result = run(fixture, "--json", "burn", NULL);
+    result = run(fixture, "--json", "burn");
     assert_status(result, BURN);
     fixture->second->burn = "{}";
-    result = run(fixture, "burn", NULL);
+    result = run(fixture, "burn");
     assert_status(result, UNREACHABLE);
     assert_contains(result.err, fixture->second->address);
 }
