--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,8 @@
 PKGS = ck libprotobuf-c libmicrohttpd libcurl jansson libxxhash libsodium \
     talloc libbsd
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+LIB_LIBS := $(shell pkg-config --libs talloc jansson libxxhash libbsd \
+    2>/dev/null) -lpthread -lm
 PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -largtable2 \
     -lpthread -lm
 CFLAGS_ALL = $(CSTD) $(WARN) $(OPT) $(SAN) -fPIC -D_GNU_SOURCE -Isrc \
@@ -36,6 +38,7 @@
 TOOL_SRC := $(filter-out $(TOOL_COMMON_SRC),$(wildcard tools/*.c))
 BENCH_SRC := $(wildcard bench/bench-*.c)
 EXAMPLE_SRC := $(wildcard examples/*.c)
+PUBLIC_HEADERS := $(shell cat src/public-headers)
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 bin = $(patsubst %.c,$(BUILD)/bin/%,$(notdir $(1)))
 
@@ -123,8 +126,13 @@
 	@rm -f $@; echo AR $@; ar rcs $@ $^
 $(DAEMON_LIB): $(call obj,$(filter-out src/daemon-main.c,$(DAEMON_SRC)))
 	@rm -f $@; echo AR $@; ar rcs $@ $^
-$(LIB_SHARED): $(call obj,$(LIB_SRC))
-	@echo LINK $@; $(CC) -shared -Wl,-soname,libhickory.so.0 $^ -o $@ $(LDLIBS_ALL)
+$(BUILD)/libhickory.map: src/public-headers .ci/public-functions \
+    $(addprefix src/,$(PUBLIC_HEADERS))
+	@mkdir -p $(@D); .ci/public-functions --map >$@
+$(LIB_SHARED): $(call obj,$(LIB_SRC)) $(BUILD)/libhickory.map
+	@echo LINK $@; $(CC) -shared -Wl,-soname,libhickory.so.0 \
+	    -Wl,--version-script=$(BUILD)/libhickory.map $(filter %.o,$^) -o $@ \
+	    $(SAN) $(LDFLAGS) $(LIB_LIBS)
 
 LINK = @mkdir -p $(@D); echo LINK $@; $(CC) $(filter %.o,$^) \
     $(filter %.a,$^) -o $@ $(LDLIBS_ALL)
@@ -145,6 +153,24 @@
 $(EXAMPLES): $(BUILD)/bin/%: $(BUILD)/examples/%.o $(LIB)
 	$(LINK)
 
+# Installs programs, library, headers, pkg-config file and manual pages.
+install: programs
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/sbin \
+	    $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+	    $(DESTDIR)$(PREFIX)/include/hickory \
+	    $(DESTDIR)$(PREFIX)/share/man/man1 $(DESTDIR)$(PREFIX)/share/man/man8
+	install $(BUILD)/bin/hickoryctl $(DESTDIR)$(PREFIX)/bin
+	install $(BUILD)/bin/hickoryrouterd $(DESTDIR)$(PREFIX)/sbin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install $(LIB_SHARED) $(DESTDIR)$(PREFIX)/lib
+	ln -sf libhickory.so.0 $(DESTDIR)$(PREFIX)/lib/libhickory.so
+	install -m 644 $(addprefix src/,$(PUBLIC_HEADERS)) \
+	    $(DESTDIR)$(PREFIX)/include/hickory
+	sed 's|@PREFIX@|$(PREFIX)|; s|@VERSION@|$(VERSION)|' hickory.pc.in \
+	    >$(DESTDIR)$(PREFIX)/lib/pkgconfig/hickory.pc
+	install -m 644 man/*.1 $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+
 clean:
 	rm -rf build
 
--- a/src/state-tables-json.h
+++ b/src/state-tables-json.h
@@ -33,7 +33,9 @@
 
 /* Returns the JSON object of one row or history entry. */
 json_t *HrRoute_ToJson(const HrRoute *route);
+/* Returns a pool as JSON; NULL when memory runs out. */
 json_t *HrPool_ToJson(const HrPool *pool, HrTablesForm form);
+/* Returns a history entry as JSON; NULL when memory runs out. */
 json_t *HrEditRecord_ToJson(const HrEditRecord *record);
 
 /* Reads the body of an edit: edit_id, operator, based_on, summary and any of
