--- a/src/coord-sched-int.h
+++ b/src/coord-sched-int.h
@@ -85,7 +85,8 @@
     HrReason reason;            /* of the last attempt that failed */
     bool is_hedged;
     bool awaits_hedge; /* in the list of hedges that wait for a slot */
-    bool needs_token;  /* the retry may repeat work and takes a token */
+    bool needs_token;  /* the retry may repeat work */
+    bool has_token;    /* and the token for it is taken */
     bool must_open;    /* the retry uses a fresh connection */
     bool is_blocked;   /* no free server suits it */
 };
@@ -251,7 +252,7 @@
 int HrSchedAttempt_Send(HrSched *sched, HrSchedSub *sub, HrSchedServer *server,
                         HrAttemptKind kind, int64_t now_ns);
 
-/* Cancels an attempt; with close_connection it counts as silent. */
+/* Cancels an attempt; with close_connection it is given up as silent. */
 void HrSchedAttempt_Cancel(HrSched *sched, HrSchedAttempt *attempt,
                            bool close_connection, int64_t now_ns);
 
