--- a/src/coord-config-peer.c
+++ b/src/coord-config-peer.c
@@ -123,18 +123,21 @@
 static void
 send_delta(HrConfig *config, uint64_t to_id, uint64_t from_revision, bool full)
 {
+    uint64_t first = full ? 0 : from_revision;
+    HrTables *rows = HrTables_Delta(config, config->tables, first);
     HrConfigQueued *queued =
-        queue_message(config, to_id, HR_CONFIG_MESSAGE_DELTA);
+        rows == NULL ? NULL
+                     : queue_message(config, to_id, HR_CONFIG_MESSAGE_DELTA);
     HrConfigMessage *message;
 
     if (queued == NULL) {
+        talloc_free(rows);
         return;
     }
     message = &queued->action.u.send.message;
-    message->u.delta.full = full || from_revision == 0;
-    message->u.delta.from_revision = message->u.delta.full ? 0 : from_revision;
-    message->u.delta.rows =
-        HrTables_Delta(queued, config->tables, message->u.delta.from_revision);
+    message->u.delta.full = first == 0;
+    message->u.delta.from_revision = first;
+    message->u.delta.rows = talloc_steal(queued, rows);
 }
 
 /* Compares tables of the same revision: confirms the age, or finds a fork. */
--- a/src/coord-config.c
+++ b/src/coord-config.c
@@ -164,13 +164,16 @@
 void
 HrConfig_Adopt(HrConfig *config, HrTables *tables, int64_t confirmed_ns)
 {
-    HrConfigQueued *queued = HrConfig_Queue(config, HR_CONFIG_ACTION_PUBLISH);
+    HrTables *copy = HrTables_Copy(config, tables);
+    HrConfigQueued *queued =
+        copy == NULL ? NULL : HrConfig_Queue(config, HR_CONFIG_ACTION_PUBLISH);
 
     if (queued == NULL) {
+        talloc_free(copy);
         talloc_free(tables);
         return;
     }
-    queued->action.u.publish.tables = HrTables_Copy(queued, tables);
+    queued->action.u.publish.tables = talloc_steal(queued, copy);
     talloc_free(config->tables);
     config->tables = talloc_steal(config, tables);
     config->confirmed_ns = confirmed_ns;
--- a/src/coord-edit.c
+++ b/src/coord-edit.c
@@ -495,34 +495,56 @@
     }
 }
 
+/* Copies the request of START. */
+static int
+take_start(HrEdit *edit, const HrEditEvent *event)
+{
+    edit->request = HrTablesEdit_Copy(edit, event->u.start.edit);
+    if (edit->request == NULL) {
+        return HrError_Set(refuse(edit), HR_ERR_NO_MEMORY, "out of memory");
+    }
+    edit->edit_id = edit->request->edit_id;
+    edit->operator_name = edit->request->operator_name;
+    edit->known_revision = event->u.start.known_revision;
+    return HR_OK;
+}
+
+/* Copies the request of RESTORE. */
+static int
+take_restore(HrEdit *edit, const HrEditEvent *event)
+{
+    if (event->u.restore.tables == NULL) {
+        return HrError_Set(refuse(edit), HR_ERR_NOT_FOUND,
+                           "nothing was restored: this daemon holds no "
+                           "tables; repeat the restore on a daemon that "
+                           "holds them");
+    }
+    edit->edit_id = talloc_strdup(edit, event->u.restore.edit_id);
+    edit->operator_name = talloc_strdup(edit, event->u.restore.operator_name);
+    edit->known_revision = event->u.restore.known_revision;
+    edit->restore = HrTables_Copy(edit, event->u.restore.tables);
+    if (edit->edit_id == NULL || edit->operator_name == NULL ||
+        edit->restore == NULL) {
+        return HrError_Set(refuse(edit), HR_ERR_NO_MEMORY, "out of memory");
+    }
+    return HR_OK;
+}
+
 /* Takes the request and reads the store. */
 static void
 handle_request(HrEdit *edit, const HrEditEvent *event)
 {
+    int rc;
+
     if (edit->state != EDIT_IDLE) {
         return;
     }
     edit->deadline_ns = event->now_ns + edit->config.deadline_ns;
-    if (event->type == HR_EDIT_EVENT_START) {
-        edit->request = HrTablesEdit_Copy(edit, event->u.start.edit);
-        edit->edit_id = edit->request->edit_id;
-        edit->operator_name = edit->request->operator_name;
-        edit->known_revision = event->u.start.known_revision;
-    }
-    else {
-        edit->edit_id = talloc_strdup(edit, event->u.restore.edit_id);
-        edit->operator_name =
-            talloc_strdup(edit, event->u.restore.operator_name);
-        edit->known_revision = event->u.restore.known_revision;
-        if (event->u.restore.tables == NULL) {
-            HrError_Set(refuse(edit), HR_ERR_NOT_FOUND,
-                        "nothing was restored: this daemon holds no tables; "
-                        "repeat the restore on a daemon that holds them");
-            return;
-        }
-        edit->restore = HrTables_Copy(edit, event->u.restore.tables);
+    rc = event->type == HR_EDIT_EVENT_START ? take_start(edit, event)
+                                            : take_restore(edit, event);
+    if (rc == HR_OK) {
+        start_read(edit);
     }
-    start_read(edit);
 }
 
 /* Takes the reply to the open call; others are ignored. */
--- a/src/ctl-client.c
+++ b/src/ctl-client.c
@@ -48,13 +48,28 @@
     return 0;
 }
 
+/* Returns the reason that an answer gives with its remedy, as text of parent:
+ * "message", or the name of the error in "error", and "remedy". */
+const char *
+CtlClient_Reason(const void *parent, json_t *answer)
+{
+    const char *reason = json_string_value(json_object_get(answer, "message"));
+    const char *remedy = json_string_value(json_object_get(answer, "remedy"));
+
+    if (reason == NULL) {
+        reason = json_string_value(json_object_get(answer, "error"));
+    }
+    if (reason == NULL) {
+        reason = "no reason is given; look at the daemon's log";
+    }
+    return remedy == NULL ? talloc_strdup(parent, reason)
+                          : talloc_asprintf(parent, "%s; %s", reason, remedy);
+}
+
 /* Explains an HTTP status that is no success. */
 static void
-explain_status(CtlReply *reply)
+explain_status(const void *parent, CtlReply *reply)
 {
-    const char *message =
-        json_string_value(json_object_get(reply->json, "error"));
-
     if (reply->status == 401 || reply->status == 403) {
         HrError_Set(&reply->error, HR_ERR_AUTH,
                     "daemon %s refused the token; name the right file with "
@@ -62,14 +77,9 @@
                     reply->address);
         return;
     }
-    if (message == NULL) {
-        message = json_string_value(
-            json_object_get(json_object_get(reply->json, "error"), "message"));
-    }
     HrError_Set(&reply->error, HR_ERR_INVALID, "daemon %s: status %d: %.200s",
                 reply->address, reply->status,
-                message == NULL ? "no reason is given; look at its log"
-                                : message);
+                CtlClient_Reason(parent, reply->json));
 }
 
 /* Explains why there is no answer. */
@@ -107,7 +117,7 @@
                                  answer->body.length_bytes,
                                  JSON_REJECT_DUPLICATES, NULL);
         if (answer->status < 200 || answer->status > 299) {
-            explain_status(reply);
+            explain_status(state->replies, reply);
         }
         else if (!json_is_object(reply->json)) {
             HrError_Set(&reply->error, HR_ERR_PROTOCOL,
--- a/src/ctl-client.h
+++ b/src/ctl-client.h
@@ -39,6 +39,10 @@
 const char **CtlClient_Targets(const void *parent, const CtlOptions *options,
                                bool all, uint32_t *count);
 
+/* Returns the reason that an answer gives with its remedy, as text of parent:
+ * "message", or the name of the error in "error", and "remedy". */
+const char *CtlClient_Reason(const void *parent, json_t *answer);
+
 /* Returns text percent-encoded for a query string. */
 char *CtlClient_Escape(const void *parent, const char *text);
 
--- a/src/ctl-edit.c
+++ b/src/ctl-edit.c
@@ -58,15 +58,6 @@
               why, edit_id);
 }
 
-/* Returns the reason in a reply. */
-static const char *
-get_reason(json_t *reply)
-{
-    const char *reason = json_string_value(json_object_get(reply, "error"));
-
-    return reason == NULL ? "no reason is given" : reason;
-}
-
 /* Prints an accepted edit and waits for it if asked to. */
 static int
 finish_accepted(const CtlOptions *options, json_t *reply, const char *edit_id)
@@ -111,15 +102,15 @@
         return finish_accepted(options, reply->json, edit_id);
     }
     if (strcmp(result, "conflict") == 0) {
-        Ctl_Error("conflict: %s", get_reason(reply->json));
+        Ctl_Error("conflict: %s", CtlClient_Reason(reply, reply->json));
         print_conflict(reply->json);
         return CTL_EXIT_CONFLICT;
     }
     if (strcmp(result, "refused") == 0) {
-        Ctl_Error("refused: %s", get_reason(reply->json));
+        Ctl_Error("refused: %s", CtlClient_Reason(reply, reply->json));
         return CTL_EXIT_FAILED;
     }
-    print_unknown(edit_id, get_reason(reply->json));
+    print_unknown(edit_id, CtlClient_Reason(reply, reply->json));
     return CTL_EXIT_UNKNOWN;
 }
 
--- a/src/state-tables-json.c
+++ b/src/state-tables-json.c
@@ -53,6 +53,27 @@
 static const HrFieldList edit_field_list = {
     "edit", edit_fields, sizeof(edit_fields) / sizeof(edit_fields[0])};
 
+/* Records that memory has run out. */
+static void
+fail_memory(HrJsonReader *reader)
+{
+    reader->status =
+        HrError_Set(reader->err, HR_ERR_NO_MEMORY, "out of memory");
+}
+
+/* Returns an array of rows, or records that memory has run out. */
+static void *
+allocate_rows(HrJsonReader *reader, const void *parent, uint32_t count,
+              size_t size)
+{
+    void *rows = talloc_zero_size(parent, count * size);
+
+    if (rows == NULL) {
+        fail_memory(reader);
+    }
+    return rows;
+}
+
 /* Reads one server, an object or an array. */
 static int
 read_server(HrJsonReader *reader, json_t *value, HrServer *server)
@@ -80,7 +101,8 @@
         return;
     }
     pool->server_count = (uint32_t)json_array_size(servers);
-    pool->servers = talloc_zero_array(parent, HrServer, pool->server_count);
+    pool->servers =
+        allocate_rows(reader, parent, pool->server_count, sizeof(HrServer));
     for (i = 0; i < pool->server_count && reader->status == HR_OK; i++) {
         HrJsonReader_SetPlace(reader, "%s[%zu].servers[%zu]", array, index, i);
         read_server(reader, json_array_get(servers, i), &pool->servers[i]);
@@ -96,7 +118,7 @@
     size_t i;
 
     *count = (uint32_t)json_array_size(array);
-    *routes = talloc_zero_array(parent, HrRoute, *count);
+    *routes = allocate_rows(reader, parent, *count, sizeof(HrRoute));
     for (i = 0; i < *count && reader->status == HR_OK; i++) {
         json_t *row = json_array_get(array, i);
 
@@ -116,7 +138,7 @@
     size_t i;
 
     *count = (uint32_t)json_array_size(array);
-    *pools = talloc_zero_array(parent, HrPool, *count);
+    *pools = allocate_rows(reader, parent, *count, sizeof(HrPool));
     for (i = 0; i < *count && reader->status == HR_OK; i++) {
         json_t *row = json_array_get(array, i);
 
@@ -141,7 +163,7 @@
     size_t i;
 
     *count = (uint32_t)json_array_size(array);
-    rows = talloc_zero_size(parent, *count == 0 ? 1 : *count * size);
+    rows = allocate_rows(reader, parent, *count, size);
     for (i = 0; i < *count && reader->status == HR_OK; i++) {
         json_t *row = json_array_get(array, i);
 
@@ -262,7 +284,12 @@
     HrTables *tables = talloc_zero(parent, HrTables);
     json_t *object;
 
-    reader.strings = HrStrings_Create(tables);
+    reader.strings = tables == NULL ? NULL : HrStrings_Create(tables);
+    if (reader.strings == NULL) {
+        talloc_free(tables);
+        HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+        return NULL;
+    }
     object = HrJsonReader_Parse(&reader, text, length_bytes, TEXT_MAX_BYTES);
     if (object != NULL) {
         read_tables(&reader, object, tables);
@@ -285,7 +312,7 @@
     size_t i;
 
     *count = (uint32_t)json_array_size(array);
-    names = talloc_zero_array(parent, const char *, *count);
+    names = allocate_rows(reader, parent, *count, sizeof(char *));
     for (i = 0; i < *count && reader->status == HR_OK; i++) {
         json_t *value = json_array_get(array, i);
 
@@ -297,6 +324,9 @@
         }
         names[i] = HrStrings_Add(reader->strings, json_string_value(value),
                                  json_string_length(value));
+        if (names[i] == NULL) {
+            fail_memory(reader);
+        }
     }
     return names;
 }
@@ -329,7 +359,12 @@
     HrTablesEdit *edit = talloc_zero(parent, HrTablesEdit);
     json_t *object;
 
-    reader.strings = HrStrings_Create(edit);
+    reader.strings = edit == NULL ? NULL : HrStrings_Create(edit);
+    if (reader.strings == NULL) {
+        talloc_free(edit);
+        HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
+        return NULL;
+    }
     object = HrJsonReader_Parse(&reader, text, length_bytes, TEXT_MAX_BYTES);
     if (object != NULL) {
         read_edit(&reader, object, edit);
--- /dev/null
+++ b/tests/common-config-sim-edit.c
@@ -0,0 +1,228 @@
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "common-config-sim-int.h"
+
+#define WALL_MS INT64_C(1700000000000)
+
+/* Returns the wall time. */
+static int64_t
+wall_ms(const Sim *sim)
+{
+    return WALL_MS + sim->now_ns / HR_NS_PER_MS;
+}
+
+/* Checks the report of a conflict against the naive version. */
+static void
+check_conflict(Sim *sim, const SimEdit *edit, const HrEditOutcome *outcome)
+{
+    uint32_t i;
+
+    for (i = 0; i < sim->store->commit_count; i++) {
+        const Model *model = &sim->store->commits[i].model;
+
+        if (model->revision == outcome->revision) {
+            SIM_CHECK(sim, Model_Conflicts(model, &edit->model));
+            SIM_CHECK(sim, outcome->change_count > 0);
+            SIM_CHECK(sim,
+                      outcome->changes[0].revision > edit->model.based_on);
+            return;
+        }
+    }
+    SIM_CHECK(sim, false);
+}
+
+/* Checks an outcome at the moment when it is reported. */
+static void
+check_outcome(Sim *sim, const SimEdit *edit, const HrEditOutcome *outcome)
+{
+    const SimCommit *commit;
+    uint32_t count;
+
+    commit = SimStore_FindEdit(sim->store, edit->model.id, &count);
+    switch (outcome->result) {
+    case HR_EDIT_ACCEPTED:
+        SIM_CHECK(sim, commit != NULL && count == 1);
+        SIM_CHECK(sim, commit->model.revision == outcome->revision);
+        break;
+    case HR_EDIT_CONFLICT:
+        SIM_CHECK(sim, count == 0);
+        check_conflict(sim, edit, outcome);
+        break;
+    case HR_EDIT_REFUSED:
+        SIM_CHECK(sim, edit->attempts > 1 || count == 0);
+        SIM_CHECK(sim, outcome->error.message[0] != '\0');
+        break;
+    case HR_EDIT_UNKNOWN:
+        SIM_CHECK(sim, outcome->error.message[0] != '\0');
+        break;
+    }
+}
+
+/* Returns true if an attempt's answer is final for the edit: a refusal for
+ * lack of the store says nothing about earlier attempts. */
+static bool
+is_final(const SimEdit *edit, const HrEditOutcome *outcome)
+{
+    if (outcome->result == HR_EDIT_UNKNOWN) {
+        return false;
+    }
+    return edit->attempts == 1 || outcome->result != HR_EDIT_REFUSED;
+}
+
+/* Takes the end of an attempt. */
+static void
+finish_attempt(Sim *sim, SimEdit *edit, const HrEditOutcome *outcome)
+{
+    SimDaemon *daemon = &sim->daemons[edit->daemon];
+
+    check_outcome(sim, edit, outcome);
+    sim->outcomes[outcome->result]++;
+    if (is_final(edit, outcome)) {
+        edit->result = outcome->result;
+        edit->revision = outcome->revision;
+    }
+    edit->finished = true;
+    if (outcome->result == HR_EDIT_ACCEPTED && !daemon->stopped) {
+        HrConfigEvent event = {.type = HR_CONFIG_EVENT_LOCAL_TABLES};
+
+        event.u.tables = outcome->tables;
+        SimDaemon_Tell(sim, edit->daemon, &event);
+    }
+}
+
+/* Does what an edit asks for. */
+static void
+drain_edit(Sim *sim, uint32_t index)
+{
+    SimEdit *edit = &sim->edits[index];
+    SimCaller caller = {
+        .is_edit = true, .index = index, .machine = edit->machine};
+    HrEditAction action;
+
+    while (edit->machine != NULL && HrEdit_Next(edit->machine, &action)) {
+        switch (action.type) {
+        case HR_EDIT_ACTION_READ:
+            SimStoreCall_SendRead(sim, caller, &action.u.read);
+            break;
+        case HR_EDIT_ACTION_WRITE:
+            SimStoreCall_SendWrite(sim, caller, &action.u.write);
+            break;
+        case HR_EDIT_ACTION_DONE:
+            finish_attempt(sim, edit, &action.u.done);
+            talloc_free(edit->machine);
+            edit->machine = NULL;
+            break;
+        }
+    }
+}
+
+/* Hands an event to an edit. */
+void
+SimEdit_Tell(Sim *sim, uint32_t index, HrEditEvent *event)
+{
+    event->now_ns = sim->now_ns;
+    event->wall_ms = wall_ms(sim);
+    HrEdit_Handle(sim->edits[index].machine, event);
+    drain_edit(sim, index);
+}
+
+/* Starts an attempt at an edit, unless its daemon cannot take edits yet. */
+static void
+start_attempt(Sim *sim, uint32_t index, uint32_t daemon)
+{
+    SimEdit *edit = &sim->edits[index];
+    HrConfig *config = sim->daemons[daemon].config;
+    HrTablesEdit *request = ModelEdit_ToTables(sim, &edit->model);
+    HrEditEvent event = {.type = HR_EDIT_EVENT_START};
+    HrEditConfig settings;
+
+    HrEditConfig_Default(&settings);
+    /* Short, so that schedules of a few seconds reach the deadline. */
+    settings.deadline_ns = 2 * HR_NS_PER_S;
+    settings.call_ns = 500 * HR_NS_PER_MS;
+    edit->attempts++;
+    edit->daemon = daemon;
+    edit->machine =
+        HrEdit_Create(sim, &settings, HrRng_FromSeed(HrRng_Next(&sim->rng)));
+    if (edit->restore) {
+        event.type = HR_EDIT_EVENT_RESTORE;
+        event.u.restore.tables = HrConfig_Tables(config);
+        event.u.restore.edit_id = edit->model.id;
+        event.u.restore.operator_name = edit->model.operator_name;
+        event.u.restore.known_revision = HrConfig_KnownRevision(config);
+    }
+    else {
+        event.u.start.edit = request;
+        event.u.start.known_revision = HrConfig_KnownRevision(config);
+    }
+    SimEdit_Tell(sim, index, &event);
+    talloc_free(request);
+}
+
+/* Starts an edit on a daemon; returns its index. */
+uint32_t
+Sim_StartEdit(Sim *sim, uint32_t daemon, const ModelEdit *edit)
+{
+    uint32_t index = sim->edit_count++;
+    SimEdit *entry = &sim->edits[index];
+
+    SIM_CHECK(sim, index < SIM_EDITS_MAX);
+    entry->model = *edit;
+    entry->result = HR_EDIT_UNKNOWN;
+    snprintf(entry->model.id, sizeof(entry->model.id), "edit-%u", index);
+    snprintf(entry->model.operator_name, sizeof(entry->model.operator_name),
+             "operator-%u", index % 2);
+    start_attempt(sim, index, daemon);
+    return index;
+}
+
+/* Starts a random edit on a random daemon. */
+void
+Sim_StartRandomEdit(Sim *sim)
+{
+    uint32_t daemon = (uint32_t)HrRng_Below(&sim->rng, sim->daemon_count);
+    const HrTables *held = HrConfig_Tables(sim->daemons[daemon].config);
+    uint64_t revision = held == NULL ? 0 : held->revision;
+    ModelEdit edit = {.based_on = revision};
+
+    if (sim->edit_count == SIM_EDITS_MAX ||
+        HrConfig_CheckEditable(sim->daemons[daemon].config, NULL) != HR_OK) {
+        return;
+    }
+    if (HrRng_Chance(&sim->rng, 0.2)) {
+        /* An operator who has looked some time ago. */
+        edit.based_on -=
+            HrRng_Below(&sim->rng, revision < 3 ? revision + 1 : 3);
+    }
+    ModelEdit_Random(&edit, &sim->rng);
+    Sim_StartEdit(sim, daemon, &edit);
+}
+
+/* Repeats an edit with its id. */
+void
+Sim_RepeatEdit(Sim *sim, uint32_t index, uint32_t daemon)
+{
+    if (sim->edits[index].machine == NULL) {
+        start_attempt(sim, index, daemon);
+    }
+}
+
+/* Starts a restore on a daemon; returns its index. */
+uint32_t
+Sim_StartRestore(Sim *sim, uint32_t daemon)
+{
+    uint32_t index = sim->edit_count++;
+    SimEdit *entry = &sim->edits[index];
+
+    SIM_CHECK(sim, index < SIM_EDITS_MAX);
+    memset(entry, 0, sizeof(*entry));
+    entry->restore = true;
+    entry->result = HR_EDIT_UNKNOWN;
+    snprintf(entry->model.id, sizeof(entry->model.id), "restore-%u", index);
+    snprintf(entry->model.operator_name, sizeof(entry->model.operator_name),
+             "operator");
+    start_attempt(sim, index, daemon);
+    return index;
+}
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -256,6 +256,7 @@
     uint64_t read_id;       /* of the last store call */
     HrConfigAction last[8]; /* sent messages, without rows */
     uint32_t sent;
+    uint32_t last_edits; /* history entries in the last delta sent */
     HrConfigAlarm alarm;
     uint64_t published;
 } Fixture;
@@ -277,6 +278,10 @@
         case HR_CONFIG_ACTION_SEND:
             assert_true(fixture->sent < 8);
             fixture->last[fixture->sent++] = action;
+            if (action.u.send.message.type == HR_CONFIG_MESSAGE_DELTA) {
+                fixture->last_edits =
+                    action.u.send.message.u.delta.rows->edit_count;
+            }
             break;
         case HR_CONFIG_ACTION_PUBLISH:
             fixture->published = action.u.publish.tables->revision;
@@ -395,6 +400,65 @@
     talloc_free(fixture);
 }
 
+/* Guards against a new revision that is not announced to several peers at
+ * once, which would leave the spreading to the comparison every second. */
+static void
+test_new_revision_is_announced(void **state)
+{
+    Fixture *fixture = start_module();
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_LOCAL_TABLES};
+    uint32_t i;
+
+    (void)state;
+    event.u.tables = make_tables(fixture, 2);
+    tell(fixture, &event);
+    assert_int_equal(fixture->published, 2);
+    assert_int_equal(fixture->sent, 2);
+    for (i = 0; i < 2; i++) {
+        const HrConfigAction *action = &fixture->last[i];
+
+        assert_int_equal(action->u.send.message.type, HR_CONFIG_MESSAGE_HINT);
+        assert_int_equal(action->u.send.message.revision, 2);
+    }
+    assert_true(fixture->last[0].u.send.to_id !=
+                fixture->last[1].u.send.to_id);
+    talloc_free(fixture);
+}
+
+/* Guards against a pull that gets more than the rows that are lacking, or no
+ * answer when the tables are the same. */
+static void
+test_pull_gets_what_is_lacking(void **state)
+{
+    Fixture *fixture = start_module();
+    HrConfigMessage pull = {.type = HR_CONFIG_MESSAGE_PULL, .revision = 2};
+    const HrConfigMessage *reply = &fixture->last[0].u.send.message;
+
+    (void)state;
+    send(fixture, 2, make_full_delta(make_tables(fixture, 3)));
+    send(fixture, 3, pull);
+    assert_int_equal(fixture->sent, 1);
+    assert_int_equal(fixture->last[0].u.send.to_id, 3);
+    assert_int_equal(reply->type, HR_CONFIG_MESSAGE_DELTA);
+    assert_int_equal(reply->revision, 3);
+    assert_int_equal(reply->u.delta.from_revision, 2);
+    assert_false(reply->u.delta.full);
+    assert_int_equal(fixture->last_edits, 1);
+    pull.u.pull.full = true;
+    send(fixture, 3, pull);
+    assert_true(reply->u.delta.full);
+    assert_int_equal(fixture->last_edits, 3);
+    pull.revision = 3;
+    pull.digest = HrConfig_Tables(fixture->config)->digest;
+    send(fixture, 3, pull);
+    assert_int_equal(reply->type, HR_CONFIG_MESSAGE_HINT);
+    pull.revision = 4;
+    send(fixture, 3, pull);
+    assert_int_equal(reply->type, HR_CONFIG_MESSAGE_PULL);
+    assert_int_equal(reply->revision, 3);
+    talloc_free(fixture);
+}
+
 /* Guards against a flood of pulls when several peers name one revision, and
  * against a lost pull that is never repeated. */
 static void
@@ -548,6 +612,8 @@
         cmocka_unit_test(test_older_store_raises_alarm),
         cmocka_unit_test(test_empty_store_raises_alarm),
         cmocka_unit_test(test_old_and_repeated_deltas_are_ignored),
+        cmocka_unit_test(test_new_revision_is_announced),
+        cmocka_unit_test(test_pull_gets_what_is_lacking),
         cmocka_unit_test(test_one_pull_at_a_time_and_repeated),
         cmocka_unit_test(test_delta_with_wrong_digest_pulls_all),
         cmocka_unit_test(test_delta_from_a_later_revision_is_ignored),
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -364,15 +364,16 @@
 
     make_rows(fixture);
     daemon->edit_status = 409;
-    daemon->edit = "{\"result\":\"conflict\",\"revision\":5,\"error\":\"rows "
-                   "changed\",\"changes\":[{\"edit_id\":\"e9\",\"revision\":5,"
+    daemon->edit = "{\"result\":\"conflict\",\"revision\":5,\"error\":"
+                   "\"conflict\",\"message\":\"rows changed "
+                   "since\",\"changes\":[{\"edit_id\":\"e9\",\"revision\":5,"
                    "\"operator\":\"ben\",\"time_ms\":1,\"summary\":\"x\"}]}";
     result = run(fixture, "routes", "set", "search", "priority=1");
     assert_status(result, CONFLICT);
     assert_contains(result.err, "ben");
     daemon->edit_status = 200;
-    daemon->edit = "{\"result\":\"refused\",\"error\":\"run hickoryctl "
-                   "restore\"}";
+    daemon->edit = "{\"result\":\"refused\",\"error\":\"stale\",\"message\":"
+                   "\"run hickoryctl restore\"}";
     result = run(fixture, "routes", "set", "search", "priority=1");
     assert_status(result, FAILED);
     assert_contains(result.err, "hickoryctl restore");
