--- a/src/state-tables-json.c
+++ b/src/state-tables-json.c
@@ -57,8 +57,8 @@
 static void
 fail_memory(HrJsonReader *reader)
 {
-    reader->status =
-        HrError_Set(reader->err, HR_ERR_NO_MEMORY, "out of memory");
+    reader->status = HR_ERR_NO_MEMORY;
+    HrError_Set(reader->err, HR_ERR_NO_MEMORY, "out of memory");
 }
 
 /* Returns an array of rows, or records that memory has run out. */
--- a/tests/common-config-sim.c
+++ b/tests/common-config-sim.c
@@ -9,17 +9,14 @@
 
 #define EVENTS_MAX 8192
 
-/* Aborts the test with the seed unless the condition holds. */
+/* Aborts the test with the seed. */
 void
-Sim_Check(const Sim *sim, bool condition, const char *text, const char *file,
-          int line)
+Sim_Fail(const Sim *sim, const char *text, const char *file, int line)
 {
-    if (!condition) {
-        fprintf(stderr, "%s:%d: seed %llu at %lld ms: failed: %s\n", file,
-                line, (unsigned long long)sim->seed,
-                (long long)(sim->now_ns / HR_NS_PER_MS), text);
-        abort();
-    }
+    fprintf(stderr, "%s:%d: seed %llu at %lld ms: failed: %s\n", file, line,
+            (unsigned long long)sim->seed,
+            (long long)(sim->now_ns / HR_NS_PER_MS), text);
+    abort();
 }
 
 /* Adds an event. */
--- a/tests/common-config-sim.h
+++ b/tests/common-config-sim.h
@@ -123,8 +123,8 @@
 
 /* Aborts the test with the seed unless the condition holds. */
 #define SIM_CHECK(sim, condition)                                             \
-    Sim_Check(sim, condition, #condition, __FILE__, __LINE__)
-void Sim_Check(const Sim *sim, bool condition, const char *text,
-               const char *file, int line);
+    ((condition) ? (void)0 : Sim_Fail(sim, #condition, __FILE__, __LINE__))
+void Sim_Fail(const Sim *sim, const char *text, const char *file, int line)
+    __attribute__((noreturn));
 
 #endif
