--- a/src/ctl-client.c
+++ b/src/ctl-client.c
@@ -227,10 +227,10 @@
     uint32_t i;
 
     for (i = 0; i < options->daemon_count; i++) {
+        maybe_sent = maybe_sent || (reply != NULL && reply->maybe_sent);
         talloc_free(reply);
         reply = CtlClient_Ask(parent, options, method, path, body,
                               &options->daemons[i], 1);
-        maybe_sent = maybe_sent || reply->maybe_sent;
         if (reply->status != 0) {
             break;
         }
@@ -239,7 +239,7 @@
         report_no_daemon();
         return NULL;
     }
-    reply->maybe_sent = maybe_sent;
+    reply->earlier_maybe_sent = maybe_sent;
     return reply;
 }
 
--- a/src/ctl-client.h
+++ b/src/ctl-client.h
@@ -13,10 +13,11 @@
 /* What one daemon has answered. */
 typedef struct CtlReply {
     const char *address;
-    bool maybe_sent;  /* the daemon may have taken the request */
-    int status;       /* HTTP status; 0 without an answer */
-    json_t *json;     /* the answer; NULL unless it is a JSON object */
-    const char *text; /* the answer as text; "" when there is none */
+    bool maybe_sent;         /* the daemon may have taken the request */
+    bool earlier_maybe_sent; /* one that was asked before may have */
+    int status;              /* HTTP status; 0 without an answer */
+    json_t *json;            /* the answer; NULL unless it is a JSON object */
+    const char *text;        /* the answer as text; "" when there is none */
     size_t text_bytes;
     HrError error; /* HR_OK, or why the answer is of no use */
 } CtlReply;
--- a/src/ctl-edit.c
+++ b/src/ctl-edit.c
@@ -76,6 +76,29 @@
     return options->wait ? CtlWait_Run(options, revision) : CTL_EXIT_DONE;
 }
 
+/* Prints that a daemon did not make the edit. Another one that was asked
+ * before and did not answer may have made it. */
+static int
+report_refusal(const CtlReply *reply, const char *edit_id, const char *reason)
+{
+    if (reply->earlier_maybe_sent) {
+        print_unknown(edit_id, reason);
+        return CTL_EXIT_UNKNOWN;
+    }
+    Ctl_Error("refused: %s", reason);
+    return CTL_EXIT_FAILED;
+}
+
+/* Returns true if a daemon may have made an edit although its answer, if there
+ * is one, has no result. */
+static bool
+is_in_doubt(const CtlReply *reply)
+{
+    return reply->earlier_maybe_sent ||
+           (reply->maybe_sent &&
+            (reply->status < 400 || reply->status >= 500));
+}
+
 /* Prints the outcome of an edit; returns the exit status. */
 static int
 report_outcome(const CtlOptions *options, const CtlReply *reply,
@@ -85,14 +108,13 @@
         json_string_value(json_object_get(reply->json, "result"));
 
     if (result == NULL) {
-        if (reply->maybe_sent &&
-            (reply->status == 0 || reply->status >= 500)) {
-            print_unknown(edit_id, reply->error.message);
+        if (is_in_doubt(reply)) {
+            print_unknown(edit_id, reply->error.kind == HR_OK
+                                       ? "the answer has no result"
+                                       : reply->error.message);
             return CTL_EXIT_UNKNOWN;
         }
-        Ctl_Error("the edit was not made: %s", reply->error.kind == HR_OK
-                                                   ? "the answer has no result"
-                                                   : reply->error.message);
+        Ctl_Error("the edit was not made: %s", reply->error.message);
         return CTL_EXIT_FAILED;
     }
     if (options->json) {
@@ -107,8 +129,8 @@
         return CTL_EXIT_CONFLICT;
     }
     if (strcmp(result, "refused") == 0) {
-        Ctl_Error("refused: %s", CtlClient_Reason(reply, reply->json));
-        return CTL_EXIT_FAILED;
+        return report_refusal(reply, edit_id,
+                              CtlClient_Reason(reply, reply->json));
     }
     print_unknown(edit_id, CtlClient_Reason(reply, reply->json));
     return CTL_EXIT_UNKNOWN;
--- a/tests/common-operator.c
+++ b/tests/common-operator.c
@@ -85,6 +85,9 @@
     HrTablesEdit *edit;
     json_t *reply;
 
+    if (daemon->ignore_edits) {
+        return;
+    }
     if (daemon->edit != NULL) {
         answer_text(daemon, number, daemon->edit_status, daemon->edit);
         return;
--- a/tests/common-operator.h
+++ b/tests/common-operator.h
@@ -22,6 +22,7 @@
     const char *members;  /* answer to /v1/members */
     const char *edit;     /* answer to the next edit instead of making it */
     int edit_status;      /* HTTP status of that answer */
+    bool ignore_edits;    /* never answers an edit */
     bool lose_edit_reply; /* makes the edit but answers with status 503 */
     const char *burn;     /* answer to /v1/burn */
     const char *report;   /* answer to all other paths */
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -354,6 +354,26 @@
     assert_int_equal(fixture->first->edits, 1);
 }
 
+/* Guards against the refusal of a second daemon that hides that a first one,
+ * which did not answer, may have made the edit. */
+static void
+test_refusal_after_a_lost_answer_is_unknown(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    fixture->first->ignore_edits = true;
+    fixture->second->edit_status = 422;
+    fixture->second->edit = "{\"result\":\"refused\",\"message\":\"the "
+                            "store did not answer\"}";
+    result =
+        run(fixture, "--timeout", "500", "-d", fixture->second->address,
+            "--edit-id", "my-edit", "routes", "set", "search", "priority=1");
+    assert_status(result, UNKNOWN);
+    assert_contains(result.err, "--edit-id my-edit");
+}
+
 /* Guards against outcomes that are not told apart. */
 static void
 test_outcomes(void **state)
@@ -381,6 +401,9 @@
     result = run(fixture, "routes", "set", "search", "priority=1");
     assert_status(result, UNKNOWN);
     assert_contains(result.err, "--edit-id");
+    daemon->edit = "{\"state\":\"ready\"}";
+    result = run(fixture, "routes", "set", "search", "priority=1");
+    assert_status(result, UNKNOWN);
     daemon->edit = "{\"result\":\"accepted\",\"revision\":1050}";
     result = run(fixture, "restore");
     assert_status(result, DONE);
@@ -561,6 +584,8 @@
                                         tear_down),
         cmocka_unit_test_setup_teardown(test_second_daemon_is_tried, set_up,
                                         tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_refusal_after_a_lost_answer_is_unknown, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_outcomes, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_wait, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_reports, set_up, tear_down),
