--- a/src/coord-claim-owner.c
+++ b/src/coord-claim-owner.c
@@ -30,19 +30,22 @@
 /* Applies the pending ops to the proposed value; returns the number of
  * changes. */
 static uint32_t
-propose_changes(HrClaimOwner *owner, HrClaimPartition *partition)
+propose_changes(HrClaimOwner *owner, HrClaimPartition *partition,
+                int64_t wall_ms)
 {
     uint64_t size_bytes = HrClaimValue_SizeBound(partition->proposed);
     uint32_t changes = 0;
     HrClaimOp *op, *next;
 
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         HrClaimFinding finding;
 
         if (op->phase != HR_CLAIM_OP_PENDING) {
             continue;
         }
-        finding = HrClaimOwner_Propose(owner, partition, op, &size_bytes);
+        finding =
+            HrClaimOwner_Propose(owner, partition, op, wall_ms, &size_bytes);
         if (finding == HR_CLAIM_FINDING_ANSWERED) {
             remove_op(owner, partition, op);
         }
@@ -86,7 +89,7 @@
         return;
     }
     HrClaimValue_DropExpired(partition->proposed, wall_ms);
-    if (propose_changes(owner, partition) > 0) {
+    if (propose_changes(owner, partition, wall_ms) > 0) {
         partition->commit_began_ns = now_ns;
         start_call(owner, partition, HR_CLAIM_OWNER_ACTION_PUT, now_ns);
     }
@@ -123,7 +126,8 @@
 {
     HrClaimOp *op, *next;
 
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         if (op->deadline_ns <= now_ns) {
             remove_op(owner, partition, op);
         }
@@ -141,7 +145,8 @@
 {
     HrClaimOp *op, *next;
 
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         HrClaimFinding finding =
             HrClaimOwner_Evaluate(owner, partition, op, wall_ms);
         int64_t refresh_at_ns =
@@ -218,6 +223,15 @@
     }
 }
 
+/* Keeps the earliest time at which a partition needs a timer. */
+static void
+note_wake(HrClaimOwner *owner, const HrClaimPartition *partition)
+{
+    if (partition->wake_ns < owner->wake_ns) {
+        owner->wake_ns = partition->wake_ns;
+    }
+}
+
 /* Returns the op of a holder with a message kind, or NULL. */
 static HrClaimOp *
 find_op(HrClaimPartition *partition, const HrClaimMessage *message,
@@ -225,7 +239,8 @@
 {
     HrClaimOp *op;
 
-    TAILQ_FOREACH (op, &partition->ops, link) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL;
+         op = TAILQ_NEXT(op, link)) {
         if (op->message.kind == kind &&
             HrClaimHolderId_Equals(&op->message.holder, &message->holder)) {
             return op;
@@ -307,6 +322,7 @@
     partition->used_ns = event->now_ns;
     accept_message(owner, partition, message, event->now_ns);
     run_partition(owner, partition, event->now_ns, event->wall_ms);
+    note_wake(owner, partition);
 }
 
 /* Takes over the value that a GET has found. */
@@ -330,7 +346,8 @@
 {
     HrClaimOp *op;
 
-    TAILQ_FOREACH (op, &partition->ops, link) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL;
+         op = TAILQ_NEXT(op, link)) {
         if (op->phase == HR_CLAIM_OP_IN_BATCH) {
             op->phase = HR_CLAIM_OP_PENDING;
             op->maybe_written = op->maybe_written || maybe_written;
@@ -370,7 +387,8 @@
     HrClaimOp *op, *next;
 
     HrCounters_Add(owner->config.counters, HR_COUNTER_claim_store_failures, 1);
-    TAILQ_FOREACH_SAFE (op, &partition->ops, link, next) {
+    for (op = TAILQ_FIRST(&partition->ops); op != NULL; op = next) {
+        next = TAILQ_NEXT(op, link);
         if (op->phase != HR_CLAIM_OP_PENDING || op->maybe_written) {
             continue;
         }
@@ -432,6 +450,7 @@
         break;
     }
     run_partition(owner, partition, event->now_ns, event->wall_ms);
+    note_wake(owner, partition);
 }
 
 /* Fills in the designed values. */
@@ -461,6 +480,7 @@
     }
     owner->config = *config;
     owner->rng = rng;
+    owner->wake_ns = HR_TIME_NEVER;
     STAILQ_INIT(&owner->actions);
     for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
         owner->partitions[i].index = i;
@@ -471,20 +491,30 @@
     return owner;
 }
 
+/* Runs the partitions whose time has come. */
+static void
+run_due(HrClaimOwner *owner, const HrClaimOwnerEvent *event)
+{
+    uint32_t i;
+
+    owner->wake_ns = HR_TIME_NEVER;
+    for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
+        HrClaimPartition *partition = &owner->partitions[i];
+
+        if (partition->wake_ns <= event->now_ns) {
+            run_partition(owner, partition, event->now_ns, event->wall_ms);
+        }
+        note_wake(owner, partition);
+    }
+}
+
 /* Processes one event. */
 void
 HrClaimOwner_Handle(HrClaimOwner *owner, const HrClaimOwnerEvent *event)
 {
-    uint32_t i;
-
     switch (event->kind) {
     case HR_CLAIM_OWNER_EVENT_TIMER:
-        for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
-            if (owner->partitions[i].wake_ns <= event->now_ns) {
-                run_partition(owner, &owner->partitions[i], event->now_ns,
-                              event->wall_ms);
-            }
-        }
+        run_due(owner, event);
         break;
     case HR_CLAIM_OWNER_EVENT_MESSAGE:
         handle_message(owner, event);
@@ -514,15 +544,7 @@
 int64_t
 HrClaimOwner_NextTimer(const HrClaimOwner *owner)
 {
-    int64_t next_ns = HR_TIME_NEVER;
-    uint32_t i;
-
-    for (i = 0; i < HR_CLAIM_PARTITIONS; i++) {
-        if (owner->partitions[i].wake_ns < next_ns) {
-            next_ns = owner->partitions[i].wake_ns;
-        }
-    }
-    return next_ns;
+    return owner->wake_ns;
 }
 
 /* Returns the number of asks and outcomes that are not answered yet. */
--- a/src/coord-claim-partition.h
+++ b/src/coord-claim-partition.h
@@ -60,9 +60,10 @@
     HrRng rng;
     uint64_t last_call;
     uint32_t op_count;
+    int64_t wake_ns;       /* no partition needs a timer before */
     HrClaimMessage unsent; /* written instead of one without memory */
     HrClaimPartition partitions[HR_CLAIM_PARTITIONS];
-    STAILQ_HEAD(, HrClaimQueued) actions;
+    STAILQ_HEAD(HrClaimQueue, HrClaimQueued) actions;
 };
 
 /* Returns an empty queued action; NULL when memory is short. */
@@ -82,6 +83,7 @@
 /* Applies an op to the proposed value, whose size bound is size_bytes. */
 HrClaimFinding HrClaimOwner_Propose(HrClaimOwner *owner,
                                     HrClaimPartition *partition,
-                                    const HrClaimOp *op, uint64_t *size_bytes);
+                                    const HrClaimOp *op, int64_t wall_ms,
+                                    uint64_t *size_bytes);
 
 #endif
--- a/src/coord-member.c
+++ b/src/coord-member.c
@@ -89,10 +89,10 @@
 handle_list_request(HrMembership *membership, const HrMemberMessage *request)
 {
     HrMember records[HR_MEMBER_PAGE];
-    HrMemberNode *node, *next;
+    HrMemberNode *node;
     uint32_t count = 0;
 
-    HASH_ITER (by_id, membership->nodes, node, next) {
+    for (node = membership->nodes; node != NULL; node = node->by_id.next) {
         records[count++] = node->record;
         if (count == HR_MEMBER_PAGE) {
             send_page(membership, request, records, count);
@@ -113,11 +113,14 @@
         HrMemberTable_Find(membership, message->sender.daemon_id);
     bool rejoined = membership->live_count == 0 ||
                     (node != NULL && node->record.state == HR_MEMBER_DEAD);
+    HrMemberSource source = message->kind == HR_MEMBER_MESSAGE_LIST
+                                ? HR_MEMBER_SOURCE_LIST
+                                : HR_MEMBER_SOURCE_UPDATE;
     uint32_t i;
 
-    HrMemberTable_Merge(membership, &message->sender, true);
+    HrMemberTable_Merge(membership, &message->sender, HR_MEMBER_SOURCE_ITSELF);
     for (i = 0; i < message->update_count && i < HR_MEMBER_PAGE; i++) {
-        HrMemberTable_Merge(membership, &message->updates[i], false);
+        HrMemberTable_Merge(membership, &message->updates[i], source);
     }
     return rejoined;
 }
@@ -205,6 +208,16 @@
     config->vm_list_lag_ns = 60 * HR_NS_PER_S;
 }
 
+/* Frees the hash tables, which are not allocated with talloc. */
+static int
+destroy_membership(HrMembership *membership)
+{
+    HASH_CLEAR(by_address, membership->addresses);
+    HASH_CLEAR(by_id, membership->nodes);
+    HASH_CLEAR(hh, membership->seeds);
+    return 0;
+}
+
 /* Creates the membership of one daemon, which knows only itself. */
 HrMembership *
 HrMembership_Create(const void *parent, const HrMemberConfig *config,
@@ -225,6 +238,7 @@
     STAILQ_INIT(&membership->actions);
     HrMembership_AbandonProbe(membership);
     HrMemberTable_Init(membership);
+    talloc_set_destructor(membership, destroy_membership);
     return membership;
 }
 
@@ -314,7 +328,7 @@
 HrMembership_View(HrMembership *membership, const void *parent)
 {
     HrMemberView *view = talloc_zero(parent, HrMemberView);
-    HrMemberNode *node, *next;
+    HrMemberNode *node;
 
     if (view == NULL) {
         return NULL;
@@ -327,7 +341,7 @@
         return NULL;
     }
     view->members[view->member_count++] = membership->self;
-    HASH_ITER (by_id, membership->nodes, node, next) {
+    for (node = membership->nodes; node != NULL; node = node->by_id.next) {
         if (node->record.state != HR_MEMBER_DEAD) {
             view->members[view->member_count++] = node->record;
         }
