--- a/src/ctl-client.h
+++ b/src/ctl-client.h
@@ -13,10 +13,11 @@
 /* What one daemon has answered. */
 typedef struct CtlReply {
     const char *address;
-    bool maybe_sent;  /* the daemon may have taken the request */
-    int status;       /* HTTP status; 0 without an answer */
-    json_t *json;     /* the answer; NULL unless it is a JSON object */
-    const char *text; /* the answer as text; "" when there is none */
+    bool maybe_sent;         /* the daemon may have taken the request */
+    bool earlier_maybe_sent; /* one that was asked before may have */
+    int status;              /* HTTP status; 0 without an answer */
+    json_t *json;            /* the answer; NULL unless it is a JSON object */
+    const char *text;        /* the answer as text; "" when there is none */
     size_t text_bytes;
     HrError error; /* HR_OK, or why the answer is of no use */
 } CtlReply;
@@ -39,6 +40,10 @@
 const char **CtlClient_Targets(const void *parent, const CtlOptions *options,
                                bool all, uint32_t *count);
 
+/* Returns the reason that an answer gives with its remedy, as text of parent:
+ * "message", or the name of the error in "error", and "remedy". */
+const char *CtlClient_Reason(const void *parent, json_t *answer);
+
 /* Returns text percent-encoded for a query string. */
 char *CtlClient_Escape(const void *parent, const char *text);
 
