--- a/src/coord-edit.c
+++ b/src/coord-edit.c
@@ -304,10 +304,10 @@
 
     if (revision < edit->known_revision) {
         HrError_Set(refuse(edit), HR_ERR_STALE,
-                    "the edit was not made: the store %s revision %" PRIu64
-                    ", but revision %" PRIu64 " is in force; run "
-                    "\"hickoryctl restore\", then repeat the edit",
-                    current == NULL ? "is empty, that is" : "holds", revision,
+                    "the edit was not made: the store %s, but revision "
+                    "%" PRIu64 " is in force; run \"hickoryctl restore\", "
+                    "then repeat the edit",
+                    current == NULL ? "is empty" : "holds an older revision",
                     edit->known_revision);
         return;
     }
--- a/src/ctl-burn.c
+++ b/src/ctl-burn.c
@@ -5,7 +5,7 @@
 #include <talloc.h>
 
 #include "ctl-client.h"
-#include "ctl-print.h"
+#include "ctl-targets.h"
 #include "proto-burn.h"
 
 /* Adds the report of one daemon; its error is filled when it has none. */
@@ -68,8 +68,8 @@
     HrClock clock = HrClock_System();
     HrBurnReport *sum =
         HrBurnReport_Create(NULL, HrClock_WallMs(&clock) * HR_NS_PER_MS);
-    uint32_t count = 0, added;
-    const char **targets = CtlClient_Targets(sum, options, true, &count);
+    CtlTargets *targets = CtlTargets_Find(sum, options, true);
+    uint32_t added;
     CtlReply *replies;
     int status = CTL_EXIT_DONE;
 
@@ -77,18 +77,19 @@
         talloc_free(sum);
         return CTL_EXIT_FAILED;
     }
-    replies =
-        CtlClient_Ask(sum, options, "GET", "/v1/burn", NULL, targets, count);
-    added = add_reports(sum, replies, count);
+    replies = CtlClient_Ask(sum, options, "GET", "/v1/burn", NULL,
+                            targets->addresses, targets->count);
+    added = add_reports(sum, replies, targets->count);
     if (added > 0) {
         print_sum(options, sum);
     }
     if (CtlBurn_IsFast(sum)) {
         status = CTL_EXIT_BURN;
     }
-    else if (added < count) {
+    else if (added < targets->count) {
         status = added == 0 ? CTL_EXIT_FAILED : CTL_EXIT_UNREACHABLE;
     }
+    status = CtlTargets_ReportUnknown(targets, status);
     talloc_free(sum);
     return status;
 }
--- a/src/ctl-client.c
+++ b/src/ctl-client.c
@@ -209,8 +209,8 @@
 }
 
 /* Prints that no daemon is named. */
-static void
-report_no_daemon(void)
+void
+CtlClient_ReportNoDaemon(void)
 {
     Ctl_Error("no daemon is named; use --daemon ADDRESS or set "
               "HICKORY_DAEMON");
@@ -236,72 +236,13 @@
         }
     }
     if (reply == NULL) {
-        report_no_daemon();
+        CtlClient_ReportNoDaemon();
         return NULL;
     }
     reply->earlier_maybe_sent = maybe_sent;
     return reply;
 }
 
-/* Lists the operator addresses of the members that are not dead. */
-static const char **
-list_members(const void *parent, json_t *members, uint32_t *count)
-{
-    const char **addresses =
-        talloc_zero_array(parent, const char *, json_array_size(members));
-    size_t i;
-
-    *count = 0;
-    for (i = 0; i < json_array_size(members); i++) {
-        json_t *member = json_array_get(members, i);
-        const char *state =
-            json_string_value(json_object_get(member, "state"));
-        const char *address =
-            json_string_value(json_object_get(member, "operator_address"));
-
-        if (address != NULL && address[0] != '\0' && state != NULL &&
-            strcmp(state, "dead") != 0) {
-            addresses[(*count)++] = talloc_strdup(addresses, address);
-        }
-    }
-    return addresses;
-}
-
-/* Lists whom a command asks: the named daemons, or with all every member that
- * is not dead. Returns NULL when an error was printed. */
-const char **
-CtlClient_Targets(const void *parent, const CtlOptions *options, bool all,
-                  uint32_t *count)
-{
-    const char **targets = NULL;
-    CtlReply *reply;
-
-    if (options->daemon_count == 0) {
-        report_no_daemon();
-        return NULL;
-    }
-    if (!all) {
-        *count = options->daemon_count;
-        return options->daemons;
-    }
-    reply = CtlClient_AskFirst(parent, options, "GET", "/v1/members", NULL);
-    if (reply->error.kind != HR_OK) {
-        Ctl_Error("%s", reply->error.message);
-    }
-    else {
-        targets = list_members(parent, json_object_get(reply->json, "members"),
-                               count);
-        if (*count == 0) {
-            Ctl_Error("daemon %s names no member with an operator address; "
-                      "name the daemons with --daemon",
-                      reply->address);
-            targets = NULL;
-        }
-    }
-    talloc_free(reply);
-    return targets;
-}
-
 /* Returns text percent-encoded for a query string. */
 char *
 CtlClient_Escape(const void *parent, const char *text)
--- a/src/ctl-client.h
+++ b/src/ctl-client.h
@@ -35,10 +35,8 @@
                              const char *method, const char *path,
                              const char *body);
 
-/* Lists whom a command asks: the named daemons, or with all every member that
- * is not dead. Returns NULL when an error was printed. */
-const char **CtlClient_Targets(const void *parent, const CtlOptions *options,
-                               bool all, uint32_t *count);
+/* Prints that no daemon is named, and how to name one. */
+void CtlClient_ReportNoDaemon(void);
 
 /* Returns the reason that an answer gives with its remedy, as text of parent:
  * "message", or the name of the error in "error", and "remedy". */
--- a/src/ctl-main.c
+++ b/src/ctl-main.c
@@ -2,7 +2,6 @@
 #include <talloc.h>
 
 #include "ctl-burn.h"
-#include "ctl-client.h"
 #include "ctl-options.h"
 #include "ctl-print.h"
 #include "ctl-query.h"
@@ -18,20 +17,10 @@
 static int
 run_report(const CtlOptions *options, const char *name)
 {
-    void *memory = talloc_new(NULL);
-    uint32_t count = 0;
-    const char **targets =
-        CtlClient_Targets(memory, options, options->all, &count);
-    int status = CTL_EXIT_FAILED;
-
-    if (targets != NULL) {
-        CtlReply *replies = CtlClient_Ask(
-            memory, options, "GET", talloc_asprintf(memory, "/v1/%s", name),
-            NULL, targets, count);
+    char *path = talloc_asprintf(NULL, "/v1/%s", name);
+    int status = CtlPrint_Ask(options, path);
 
-        status = CtlPrint_Replies(options, replies, count);
-    }
-    talloc_free(memory);
+    talloc_free(path);
     return status;
 }
 
--- a/src/ctl-print.c
+++ b/src/ctl-print.c
@@ -5,6 +5,9 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "ctl-client.h"
+#include "ctl-targets.h"
+
 #define COLUMNS_MAX 64
 
 /* A table that is laid out before it is printed. */
@@ -234,8 +237,8 @@
 
 /* Prints the replies of several daemons, and errors of those that did not
  * answer. Returns the exit status. */
-int
-CtlPrint_Replies(const CtlOptions *options, CtlReply *replies, uint32_t count)
+static int
+print_replies(const CtlOptions *options, CtlReply *replies, uint32_t count)
 {
     uint32_t failed = 0, i;
 
@@ -261,3 +264,23 @@
     }
     return failed == count ? CTL_EXIT_FAILED : CTL_EXIT_UNREACHABLE;
 }
+
+/* Asks the named daemons, or with --all every member, and prints the answers
+ * and the errors of those that did not answer. Returns the exit status. */
+int
+CtlPrint_Ask(const CtlOptions *options, const char *path)
+{
+    void *memory = talloc_new(NULL);
+    CtlTargets *targets = CtlTargets_Find(memory, options, options->all);
+    int status = CTL_EXIT_FAILED;
+
+    if (targets != NULL) {
+        CtlReply *replies = CtlClient_Ask(memory, options, "GET", path, NULL,
+                                          targets->addresses, targets->count);
+
+        status = print_replies(options, replies, targets->count);
+        status = CtlTargets_ReportUnknown(targets, status);
+    }
+    talloc_free(memory);
+    return status;
+}
--- a/src/ctl-print.h
+++ b/src/ctl-print.h
@@ -4,7 +4,7 @@
 #include <jansson.h>
 #include <stdio.h>
 
-#include "ctl-client.h"
+#include "ctl-options.h"
 
 /* Prints a JSON object for people: scalars as "key: value", arrays of objects
  * as tables. Control characters are replaced, because the text comes from the
@@ -18,9 +18,8 @@
 /* Prints JSON on one line per value. */
 void CtlPrint_Json(FILE *out, json_t *value);
 
-/* Prints the replies of several daemons, and errors of those that did not
- * answer. Returns the exit status. */
-int CtlPrint_Replies(const CtlOptions *options, CtlReply *replies,
-                     uint32_t count);
+/* Asks the named daemons, or with --all every member, and prints the answers
+ * and the errors of those that did not answer. Returns the exit status. */
+int CtlPrint_Ask(const CtlOptions *options, const char *path);
 
 #endif
--- a/src/ctl-query.c
+++ b/src/ctl-query.c
@@ -10,6 +10,8 @@
 #include "ctl-print.h"
 #include "proto-caller.h"
 
+#define EXPIRY_MARGIN_MS 60000
+
 /* Returns a new request id. */
 static const char *
 make_request_id(const void *parent)
@@ -32,6 +34,19 @@
     return strcmp(text, "complete") == 0;
 }
 
+/* Returns when the query expires: a minute after its deadline unless an expiry
+ * is given, so that requests that run at most once are taken. */
+static int64_t
+choose_expiry_ms(const CtlOptions *options)
+{
+    HrClock clock = HrClock_System();
+
+    if (options->expires_ms != 0) {
+        return (int64_t)options->expires_ms;
+    }
+    return HrClock_WallMs(&clock) + options->deadline_ms + EXPIRY_MARGIN_MS;
+}
+
 /* Returns the body of the query, or NULL when an error was printed. */
 static char *
 make_body(const void *parent, const CtlOptions *options,
@@ -43,7 +58,7 @@
                            .key = options->key,
                            .caller = "hickoryctl",
                            .deadline_ms = options->deadline_ms,
-                           .expires_ms = (int64_t)options->expires_ms};
+                           .expires_ms = choose_expiry_ms(options)};
     json_t *value = json_loads(payload, JSON_DECODE_ANY, NULL);
 
     if (value == NULL) {
@@ -145,9 +160,6 @@
 CtlQuery_Explain(const CtlOptions *options)
 {
     void *memory = talloc_new(NULL);
-    uint32_t count = 0;
-    const char **targets;
-    CtlReply *replies;
     char *path;
     int status;
 
@@ -163,14 +175,7 @@
         path = talloc_asprintf(memory, "%s&key=%s", path,
                                CtlClient_Escape(memory, options->key));
     }
-    targets = CtlClient_Targets(memory, options, options->all, &count);
-    if (targets == NULL) {
-        talloc_free(memory);
-        return CTL_EXIT_FAILED;
-    }
-    replies =
-        CtlClient_Ask(memory, options, "GET", path, NULL, targets, count);
-    status = CtlPrint_Replies(options, replies, count);
+    status = CtlPrint_Ask(options, path);
     talloc_free(memory);
     return status;
 }
--- a/src/ctl-wait.c
+++ b/src/ctl-wait.c
@@ -8,6 +8,7 @@
 #include "ctl-client.h"
 #include "ctl-print.h"
 #include "ctl-tables.h"
+#include "ctl-targets.h"
 
 #define POLL_NS (200 * HR_NS_PER_MS)
 /* A daemon that does not answer must not use up the whole time. */
@@ -15,7 +16,8 @@
 
 /* One daemon that is waited for. */
 typedef struct WaitTarget {
-    const char *address;
+    const char *address; /* or its name, if it cannot be asked */
+    bool can_ask;
     bool in_force;
     bool answered;
     uint64_t revision;
@@ -30,11 +32,11 @@
     void *memory = talloc_new(NULL);
     const char **addresses = talloc_array(memory, const char *, count);
     uint32_t *indexes = talloc_array(memory, uint32_t, count);
-    uint32_t open = 0, missing = 0, i;
+    uint32_t open = 0, lacking = 0, i;
     CtlReply *replies;
 
     for (i = 0; i < count; i++) {
-        if (!targets[i].in_force) {
+        if (targets[i].can_ask && !targets[i].in_force) {
             addresses[open] = targets[i].address;
             indexes[open++] = i;
         }
@@ -48,10 +50,10 @@
         target->answered = replies[i].error.kind == HR_OK;
         target->revision = (uint64_t)json_integer_value(held);
         target->in_force = target->answered && target->revision >= revision;
-        missing += target->in_force ? 0 : 1;
+        lacking += target->in_force ? 0 : 1;
     }
     talloc_free(memory);
-    return missing;
+    return lacking;
 }
 
 /* Prints on how many daemons the revision is in force, and names the others.
@@ -68,7 +70,12 @@
         if (targets[i].in_force) {
             continue;
         }
-        if (targets[i].answered) {
+        if (!targets[i].can_ask) {
+            printf("missing: daemon %s, whose operator listener is not known; "
+                   "name it with --daemon\n",
+                   targets[i].address);
+        }
+        else if (targets[i].answered) {
             printf("missing: %s, which holds revision %" PRIu64 "\n",
                    targets[i].address, targets[i].revision);
         }
@@ -99,7 +106,8 @@
     json_decref(object);
 }
 
-/* Polls until the revision is in force everywhere or the time is over. */
+/* Polls until the revision is in force on every daemon that can be asked or
+ * the time is over. Returns on how many of them it is not. */
 static uint32_t
 wait_for_targets(const CtlOptions *options, WaitTarget *targets,
                  uint32_t count, uint64_t revision)
@@ -109,43 +117,57 @@
         HrClock_NowNs(&clock) + (int64_t)options->timeout_ms * HR_NS_PER_MS;
     struct timespec pause = HrTime_FromNs(POLL_NS);
     CtlOptions poll = *options;
-    uint32_t missing;
+    uint32_t lacking;
 
     poll.timeout_ms = POLL_TIMEOUT_MS;
     for (;;) {
-        missing = poll_targets(&poll, targets, count, revision);
-        if (missing == 0 || HrClock_NowNs(&clock) + POLL_NS >= end_ns) {
-            return missing;
+        lacking = poll_targets(&poll, targets, count, revision);
+        if (lacking == 0 || HrClock_NowNs(&clock) + POLL_NS >= end_ns) {
+            return lacking;
         }
         nanosleep(&pause, NULL);
     }
 }
 
+/* Lists the members to wait for. */
+static WaitTarget *
+list_targets(const CtlTargets *found, uint32_t *count)
+{
+    WaitTarget *targets;
+    uint32_t i;
+
+    *count = found->count + found->unknown_count;
+    targets = talloc_zero_array(found, WaitTarget, *count);
+    for (i = 0; i < *count; i++) {
+        targets[i].can_ask = i < found->count;
+        targets[i].address = i < found->count
+                                 ? found->addresses[i]
+                                 : found->unknown[i - found->count];
+    }
+    return targets;
+}
+
 /* Waits until a revision is in force on every member and prints on how many
  * it is. Returns the exit status. */
 int
 CtlWait_Run(const CtlOptions *options, uint64_t revision)
 {
-    void *memory = talloc_new(NULL);
-    uint32_t count = 0, missing, i;
-    const char **addresses = CtlClient_Targets(memory, options, true, &count);
+    CtlTargets *found = CtlTargets_Find(NULL, options, true);
+    uint32_t count, missing;
     WaitTarget *targets;
 
-    if (addresses == NULL) {
-        talloc_free(memory);
+    if (found == NULL) {
         return CTL_EXIT_WAITING;
     }
-    targets = talloc_zero_array(memory, WaitTarget, count);
-    for (i = 0; i < count; i++) {
-        targets[i].address = addresses[i];
-    }
-    missing = wait_for_targets(options, targets, count, revision);
+    targets = list_targets(found, &count);
+    missing = found->unknown_count +
+              wait_for_targets(options, targets, count, revision);
     if (options->json) {
         print_json(targets, count, missing, revision);
     }
     else {
         print_text(targets, count, missing, revision);
     }
-    talloc_free(memory);
+    talloc_free(found);
     return missing == 0 ? CTL_EXIT_DONE : CTL_EXIT_WAITING;
 }
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -434,6 +434,64 @@
     assert_contains(result.out, "holds revision 3");
 }
 
+/* Returns a burn report with a share of slow answers. */
+static char *
+make_burn(Fixture *fixture, uint64_t slow)
+{
+    int64_t wall_ns = HrClock_WallMs(&fixture->clock) * HR_NS_PER_MS;
+    HrBurnReport *report = HrBurnReport_Create(fixture, wall_ns);
+    HrBurnEntry *entry = HrBurnReport_Entry(report, "search", "desk");
+    HrBurnPoint *last = &entry->points[HR_BURN_POINTS - 1];
+
+    report->daemons = 1;
+    entry->objective.latency_ms = 50;
+    entry->objective.latency_target = 0.99;
+    entry->objective.coverage_target = 0.999;
+    entry->short_window.answers = entry->long_window.answers = 100;
+    entry->short_window.slow_answers = entry->long_window.slow_answers = slow;
+    entry->short_window.shards = entry->long_window.shards = 3000;
+    last->counts = entry->short_window;
+    HrBurnPoint_Record(last, 20 * HR_NS_PER_MS);
+    return HrBurnReport_Encode(fixture, report);
+}
+
+/* Guards against a member that nobody can ask and that is left out of the
+ * count: then "in force on 2 of 2" would be wrong. */
+static void
+test_member_without_operator_address(void **state)
+{
+    Fixture *fixture = *state;
+    CtlRun result;
+
+    make_rows(fixture);
+    fixture->first->members = talloc_asprintf(
+        fixture->first,
+        "{\"members\":[{\"daemon_id\":\"aa\",\"state\":\"alive\","
+        "\"operator_address\":\"%s\"},{\"daemon_id\":\"bb\",\"state\":"
+        "\"suspect\",\"peer_address\":\"10.0.0.9:1\",\"operator_address\":"
+        "null}]}",
+        fixture->first->address);
+    fixture->second->members = "{\"members\":[]}";
+    result = run(fixture, "--wait", "routes", "set", "search", "priority=1");
+    assert_status(result, WAITING);
+    assert_contains(result.out, "in force on 1 of 2 daemons");
+    assert_contains(result.out, "missing: daemon bb at peer address 10.0.0.9");
+    result = run(fixture, "--all", "status");
+    assert_status(result, UNREACHABLE);
+    assert_contains(result.err, "daemon bb");
+    fixture->first->burn = make_burn(fixture, 0);
+    result = run(fixture, "burn");
+    assert_status(result, UNREACHABLE);
+    assert_contains(result.err, "daemon bb");
+    fixture->second->members = talloc_asprintf(
+        fixture->first,
+        "{\"members\":[{\"daemon_id\":\"bb\",\"state\":\"alive\","
+        "\"operator_address\":\"%s\"}]}",
+        fixture->second->address);
+    result = run(fixture, "-d", fixture->second->address, "--all", "status");
+    assert_status(result, DONE);
+}
+
 /* Guards against reports that lose a daemon without saying so, and control
  * characters that reach the terminal. */
 static void
@@ -518,27 +576,6 @@
                   USAGE);
 }
 
-/* Returns a burn report with a share of slow answers. */
-static char *
-make_burn(Fixture *fixture, uint64_t slow)
-{
-    int64_t wall_ns = HrClock_WallMs(&fixture->clock) * HR_NS_PER_MS;
-    HrBurnReport *report = HrBurnReport_Create(fixture, wall_ns);
-    HrBurnEntry *entry = HrBurnReport_Entry(report, "search", "desk");
-    HrBurnPoint *last = &entry->points[HR_BURN_POINTS - 1];
-
-    report->daemons = 1;
-    entry->objective.latency_ms = 50;
-    entry->objective.latency_target = 0.99;
-    entry->objective.coverage_target = 0.999;
-    entry->short_window.answers = entry->long_window.answers = 100;
-    entry->short_window.slow_answers = entry->long_window.slow_answers = slow;
-    entry->short_window.shards = entry->long_window.shards = 3000;
-    last->counts = entry->short_window;
-    HrBurnPoint_Record(last, 20 * HR_NS_PER_MS);
-    return HrBurnReport_Encode(fixture, report);
-}
-
 /* Guards against a budget that burns too fast without a failing exit status,
  * rates of one daemon that pass for those of all, and a silent loss of a
  * daemon. */
@@ -588,6 +625,8 @@
             test_refusal_after_a_lost_answer_is_unknown, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_outcomes, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_wait, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_member_without_operator_address,
+                                        set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_reports, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_explain, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_query, set_up, tear_down),
