--- /dev/null
+++ b/tests/common-callers.c
@@ -0,0 +1,515 @@
+#include "common-callers.h"
+
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define BOOKING_TTL_MS 60000
+#define LATE_GRACE_MS 1000
+#define DEFAULT_DEADLINE_MS 5000
+#define ENTRIES_MAX 8
+#define SHARD_NAME_BYTES 32
+
+/* A booking that was sent, with what its first answer said. */
+typedef struct Booking {
+    char id[32];
+    bool done;
+    bool not_run;
+    struct Booking *next;
+} Booking;
+
+/* One caller. */
+typedef struct Caller {
+    TestCallers *owner;
+    pthread_t thread;
+    uint32_t number;
+    uint32_t sent;
+    uint32_t index; /* the daemon that it uses */
+    uint16_t entries[ENTRIES_MAX];
+    uint32_t entry_count;
+    int64_t entries_end_ms;
+    Booking *bookings;
+    TestTally tally;
+} Caller;
+
+struct TestCallers {
+    const TestCluster *cluster;
+    TestCallersConfig config;
+    bool stop;
+    Caller *callers;
+};
+
+/* Returns true if an answer to a search is complete. */
+bool
+TestAnswer_IsComplete(const TestAnswer *answer)
+{
+    return strcmp(TestAnswer_Text(answer, "status"), "complete") == 0;
+}
+
+/* Counts how often a list of an answer names a shard. */
+static uint32_t
+count_shard(const TestAnswer *answer, const char *list, const char *shard)
+{
+    const json_t *items = json_object_get(answer->json, list);
+    uint32_t count = 0;
+    size_t i;
+
+    for (i = 0; i < json_array_size(items); i++) {
+        const char *name = json_string_value(
+            json_object_get(json_array_get(items, i), "shard"));
+
+        count += name != NULL && strcmp(name, shard) == 0;
+    }
+    return count;
+}
+
+/* Returns true if every part carries the payload of its own shard and of the
+ * version of the answer. */
+static bool
+parts_match(const TestAnswer *answer)
+{
+    const json_t *parts = json_object_get(answer->json, "parts");
+    const json_t *version = json_object_get(answer->json, "version");
+    size_t i;
+
+    for (i = 0; i < json_array_size(parts); i++) {
+        const json_t *part = json_array_get(parts, i);
+        const json_t *payload = json_object_get(part, "payload");
+
+        if (!json_equal(json_object_get(part, "shard"),
+                        json_object_get(payload, "shard")) ||
+            !json_equal(version, json_object_get(payload, "version"))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns true if each shard of the version is named exactly once. An odd
+ * version has one shard for a group, an even one has two. */
+static bool
+names_each_shard(const TestAnswer *answer, uint32_t groups)
+{
+    uint32_t per_group =
+        json_integer_value(json_object_get(answer->json, "version")) % 2 == 0
+            ? 2
+            : 1;
+    uint32_t i;
+
+    for (i = 0; i < groups * per_group; i++) {
+        char name[SHARD_NAME_BYTES];
+
+        snprintf(name, sizeof(name), "pool-%02u%s", i / per_group,
+                 per_group == 1 ? "" : (i % 2 == 0 ? "a" : "b"));
+        if (count_shard(answer, "parts", name) +
+                count_shard(answer, "missing", name) !=
+            1) {
+            return false;
+        }
+    }
+    return json_array_size(json_object_get(answer->json, "parts")) +
+               json_array_size(json_object_get(answer->json, "missing")) ==
+           groups * per_group;
+}
+
+/* Returns true if the coverage of an answer to a search is true. */
+bool
+TestAnswer_IsTrue(const TestAnswer *answer, uint32_t groups)
+{
+    const char *status = TestAnswer_Text(answer, "status");
+    size_t missing = json_array_size(json_object_get(answer->json, "missing"));
+
+    if (strcmp(status, "refused") == 0) {
+        return json_array_size(json_object_get(answer->json, "parts")) == 0;
+    }
+    if ((strcmp(status, "complete") != 0 && strcmp(status, "partial") != 0) ||
+        (strcmp(status, "complete") == 0) != (missing == 0)) {
+        return false;
+    }
+    return names_each_shard(answer, groups) && parts_match(answer);
+}
+
+/* Sends a booking through one daemon. */
+TestAnswer
+TestCluster_Book(const TestCluster *cluster, uint32_t index, const char *id,
+                 uint32_t deadline_ms)
+{
+    char body[512];
+
+    snprintf(body, sizeof(body),
+             "{\"request_id\":\"%s\",\"kind\":\"book\",\"key\":\"%s\","
+             "\"deadline_ms\":%u,\"payload\":{\"request_id\":\"%s\"},"
+             "\"expires_ms\":%lld}",
+             id, id, deadline_ms != 0 ? deadline_ms : DEFAULT_DEADLINE_MS, id,
+             (long long)TestClock_WallMs() + BOOKING_TTL_MS);
+    return TestCluster_Query(cluster, index, body);
+}
+
+/* Returns how often each non-idempotent request id ran. */
+json_t *
+TestCluster_Runs(const TestCluster *cluster)
+{
+    TestAnswer answer =
+        TestHttp_Send(cluster->backend_port, "/control", NULL, NULL);
+    json_t *runs = json_incref(json_object_get(answer.json, "runs"));
+
+    assert_non_null(runs);
+    TestAnswer_Release(&answer);
+    return runs;
+}
+
+/* Sets a fault of the simulated platform. */
+void
+TestCluster_SetPlatform(const TestCluster *cluster, const char *path,
+                        const char *body)
+{
+    TestAnswer answer =
+        TestHttp_Send(cluster->platform_port, path, NULL, body);
+
+    assert_int_equal(answer.status, 200);
+    TestAnswer_Release(&answer);
+}
+
+/* Changes a backend server. */
+void
+TestCluster_SetServer(const TestCluster *cluster, uint32_t index,
+                      const char *path)
+{
+    TestAnswer answer = TestHttp_Send(
+        (uint16_t)(cluster->backend_port + index), path, NULL, "");
+
+    assert_int_equal(answer.status, 200);
+    TestAnswer_Release(&answer);
+}
+
+/* Returns a counter of a daemon. */
+json_int_t
+TestCluster_Counter(const TestCluster *cluster, uint32_t index,
+                    const char *name)
+{
+    TestAnswer answer = TestHttp_Send(cluster->daemons[index].operator_port,
+                                      "/v1/status", TEST_TOKEN, NULL);
+    json_int_t value = json_integer_value(
+        json_object_get(json_object_get(answer.json, "counters"), name));
+
+    TestAnswer_Release(&answer);
+    return value;
+}
+
+/* Returns the index of the daemon that listens for callers on a port. */
+static uint32_t
+find_daemon(const TestCluster *cluster, uint16_t port)
+{
+    uint32_t i;
+
+    for (i = 0; i < cluster->daemon_count; i++) {
+        if (cluster->daemons[i].caller_port == port) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+/* Takes the addresses and the time to keep them of an entry list. */
+static void
+take_entries(Caller *caller, const TestAnswer *answer)
+{
+    const json_t *entries = json_object_get(answer->json, "entries");
+    size_t i;
+
+    caller->entry_count = 0;
+    for (i = 0; i < json_array_size(entries) && i < ENTRIES_MAX; i++) {
+        const char *address = json_string_value(
+            json_object_get(json_array_get(entries, i), "address"));
+        const char *colon = address != NULL ? strrchr(address, ':') : NULL;
+
+        if (colon != NULL) {
+            caller->entries[caller->entry_count++] =
+                (uint16_t)strtoul(colon + 1, NULL, 10);
+        }
+    }
+    caller->entries_end_ms =
+        TestClock_WallMs() +
+        json_integer_value(json_object_get(answer->json, "ttl_ms"));
+}
+
+/* Chooses the daemon for the next request from the entry list, which is asked
+ * for again, from a daemon of the former list, when its time is over. */
+static void
+follow_entries(Caller *caller)
+{
+    const TestCluster *cluster = caller->owner->cluster;
+
+    if (TestClock_WallMs() >= caller->entries_end_ms) {
+        TestAnswer answer =
+            TestHttp_Send(cluster->daemons[caller->index].caller_port,
+                          "/v1/entries", NULL, NULL);
+
+        if (answer.status == 200) {
+            take_entries(caller, &answer);
+        }
+        else {
+            caller->tally.no_answer++;
+        }
+        TestAnswer_Release(&answer);
+    }
+    if (caller->entry_count > 0) {
+        caller->index = find_daemon(
+            cluster, caller->entries[caller->sent % caller->entry_count]);
+    }
+}
+
+/* Counts an answer by its status; returns true when it is what the caller
+ * asked for. */
+static bool
+count_answer(TestTally *tally, const TestAnswer *answer)
+{
+    const char *status = TestAnswer_Text(answer, "status");
+
+    if (strcmp(status, "complete") == 0) {
+        tally->complete++;
+        return true;
+    }
+    if (strcmp(status, "done") == 0) {
+        tally->done++;
+        return true;
+    }
+    if (strcmp(status, "partial") == 0) {
+        tally->partial++;
+    }
+    else if (strcmp(status, "unknown") == 0) {
+        tally->unknown++;
+    }
+    else if (answer->status == 0) {
+        tally->no_answer++;
+    }
+    else if (json_is_true(json_object_get(answer->json, "not_run"))) {
+        tally->refused_not_run++;
+    }
+    else {
+        tally->refused++;
+    }
+    return false;
+}
+
+/* Counts an answer and its time; after a failure the caller changes over to
+ * the next daemon. */
+static void
+note_answer(Caller *caller, const TestAnswer *answer, int64_t sent_ms)
+{
+    const TestCallers *owner = caller->owner;
+    int64_t now_ms = TestClock_WallMs();
+    int64_t limit_ms =
+        (owner->config.deadline_ms != 0 ? (int64_t)owner->config.deadline_ms
+                                        : DEFAULT_DEADLINE_MS) +
+        LATE_GRACE_MS;
+
+    if (!count_answer(&caller->tally, answer)) {
+        caller->tally.last_failure_ms = now_ms;
+        caller->index = (caller->index + 1) % owner->cluster->daemon_count;
+    }
+    caller->tally.late += now_ms - sent_ms > limit_ms;
+    if (now_ms - sent_ms > caller->tally.slowest_ms) {
+        caller->tally.slowest_ms = now_ms - sent_ms;
+    }
+}
+
+/* Sends a booking, and a copy of it through another daemon when its outcome
+ * stays open. */
+static void
+send_booking(Caller *caller)
+{
+    const TestCallers *owner = caller->owner;
+    Booking *booking = calloc(1, sizeof(*booking));
+    int64_t sent_ms = TestClock_WallMs();
+    TestAnswer answer;
+    bool open;
+
+    snprintf(booking->id, sizeof(booking->id), "b-%u-%u", caller->number,
+             caller->sent);
+    booking->next = caller->bookings;
+    caller->bookings = booking;
+    answer = TestCluster_Book(owner->cluster, caller->index, booking->id,
+                              owner->config.deadline_ms);
+    booking->done = strcmp(TestAnswer_Text(&answer, "status"), "done") == 0;
+    booking->not_run = json_is_true(json_object_get(answer.json, "not_run"));
+    open = !booking->done && !booking->not_run;
+    note_answer(caller, &answer, sent_ms);
+    TestAnswer_Release(&answer);
+    if (open) {
+        answer = TestCluster_Book(owner->cluster, caller->index, booking->id,
+                                  owner->config.deadline_ms);
+        booking->done =
+            strcmp(TestAnswer_Text(&answer, "status"), "done") == 0;
+        TestAnswer_Release(&answer);
+    }
+}
+
+/* Sends a wide query or a lookup. */
+static void
+send_query(Caller *caller, bool wide)
+{
+    const TestCallers *owner = caller->owner;
+    int64_t sent_ms = TestClock_WallMs();
+    TestAnswer answer;
+    char body[256];
+
+    snprintf(body, sizeof(body),
+             "{\"request_id\":\"r\",\"kind\":\"%s\",\"key\":\"%u\","
+             "\"deadline_ms\":%u,\"payload\":{}}",
+             wide ? "search" : "one", caller->sent,
+             owner->config.deadline_ms != 0 ? owner->config.deadline_ms
+                                            : DEFAULT_DEADLINE_MS);
+    answer = TestCluster_Query(owner->cluster, caller->index, body);
+    if (answer.status != 0) {
+        caller->tally.untrue +=
+            wide ? !TestAnswer_IsTrue(&answer, owner->cluster->groups)
+                 : !parts_match(&answer);
+    }
+    note_answer(caller, &answer, sent_ms);
+    TestAnswer_Release(&answer);
+}
+
+/* Sends requests until it is told to stop. */
+static void *
+run_caller(void *arg)
+{
+    Caller *caller = arg;
+    TestCallers *owner = caller->owner;
+
+    while (!__atomic_load_n(&owner->stop, __ATOMIC_RELAXED)) {
+        if (owner->config.follow_entries) {
+            follow_entries(caller);
+        }
+        caller->sent++;
+        if (owner->config.book && caller->sent % 3 == 0) {
+            send_booking(caller);
+        }
+        else {
+            send_query(caller, caller->sent % 3 == 1);
+        }
+        TestClock_SleepMs(owner->config.pause_ms);
+    }
+    return NULL;
+}
+
+/* Starts the callers. */
+TestCallers *
+TestCallers_Start(const TestCluster *cluster, const TestCallersConfig *config)
+{
+    TestCallers *callers = calloc(1, sizeof(*callers));
+    uint32_t i;
+
+    callers->cluster = cluster;
+    callers->config = *config;
+    callers->callers = calloc(config->count, sizeof(*callers->callers));
+    for (i = 0; i < config->count; i++) {
+        Caller *caller = &callers->callers[i];
+
+        caller->owner = callers;
+        caller->number = i;
+        caller->index = i % cluster->daemon_count;
+        assert_int_equal(
+            pthread_create(&caller->thread, NULL, run_caller, caller), 0);
+    }
+    return callers;
+}
+
+/* Adds what one caller saw. */
+static void
+add_tally(TestTally *sum, const TestTally *tally)
+{
+    sum->complete += tally->complete;
+    sum->partial += tally->partial;
+    sum->done += tally->done;
+    sum->unknown += tally->unknown;
+    sum->refused_not_run += tally->refused_not_run;
+    sum->refused += tally->refused;
+    sum->no_answer += tally->no_answer;
+    sum->late += tally->late;
+    sum->untrue += tally->untrue;
+    if (tally->last_failure_ms > sum->last_failure_ms) {
+        sum->last_failure_ms = tally->last_failure_ms;
+    }
+    if (tally->slowest_ms > sum->slowest_ms) {
+        sum->slowest_ms = tally->slowest_ms;
+    }
+}
+
+/* Returns how many bookings ran twice, or not as their answers say. */
+static uint32_t
+count_wrong_bookings(const Caller *caller, const json_t *runs)
+{
+    const Booking *booking;
+    uint32_t wrong = 0;
+
+    for (booking = caller->bookings; booking != NULL;
+         booking = booking->next) {
+        json_int_t count =
+            json_integer_value(json_object_get(runs, booking->id));
+
+        if (count > 1 || (booking->done && count != 1) ||
+            (booking->not_run && count != 0)) {
+            print_message("%s ran %d times, done %d, not_run %d\n",
+                          booking->id, (int)count, booking->done,
+                          booking->not_run);
+            wrong++;
+        }
+    }
+    return wrong;
+}
+
+/* Frees the callers. */
+static void
+free_callers(TestCallers *callers)
+{
+    uint32_t i;
+
+    for (i = 0; i < callers->config.count; i++) {
+        Booking *booking;
+
+        while ((booking = callers->callers[i].bookings) != NULL) {
+            callers->callers[i].bookings = booking->next;
+            free(booking);
+        }
+    }
+    free(callers->callers);
+    free(callers);
+}
+
+/* Stops the callers, prints and checks what they saw. */
+TestTally
+TestCallers_Stop(TestCallers *callers, const char *title)
+{
+    TestTally sum;
+    uint32_t i, wrong = 0;
+    json_t *runs;
+
+    memset(&sum, 0, sizeof(sum));
+    __atomic_store_n(&callers->stop, true, __ATOMIC_RELAXED);
+    for (i = 0; i < callers->config.count; i++) {
+        pthread_join(callers->callers[i].thread, NULL);
+        add_tally(&sum, &callers->callers[i].tally);
+    }
+    runs = TestCluster_Runs(callers->cluster);
+    for (i = 0; i < callers->config.count; i++) {
+        wrong += count_wrong_bookings(&callers->callers[i], runs);
+    }
+    print_message("%s: %u complete, %u partial, %u done, %u unknown, %u "
+                  "refused not run, %u refused, %u without an answer, %u "
+                  "late, %zu bookings ran, slowest %lld ms\n",
+                  title, sum.complete, sum.partial, sum.done, sum.unknown,
+                  sum.refused_not_run, sum.refused, sum.no_answer, sum.late,
+                  json_object_size(runs), (long long)sum.slowest_ms);
+    json_decref(runs);
+    free_callers(callers);
+    assert_int_equal(sum.untrue, 0);
+    assert_int_equal(wrong, 0);
+    return sum;
+}
