Send the sub-requests of a stalled peer link elsewhere

Cause: a peer link that goes silent was noticed only by its ping, after 4 s (a ping after 1 s and 3 s of silence), and the gather moved on only when the driver reported a failure. Queries lost the shards of the scheduling daemon behind the link until then, although a new connection to it worked.

Ruled out: a constant wait, because links within a data centre and between regions differ by a factor of 100; a wait from the latency of sub-answers alone, because a slow shard would look like a stalled link. A link that owes an answer is pinged once it is quiet for longer than earlier answers took (smoothed mean and four deviations, as in RFC 6298), and it counts as stalled when the ping is not answered within twice that time. New frames then take a new link, idempotent sub-requests go to the next candidate, and the others wait for the end of the link. A late answer over the old link still counts.

--- a/src/base-counter-list.h
+++ b/src/base-counter-list.h
@@ -18,6 +18,8 @@
 HR_COUNTER(peer_links_closed, links, "peer links closed")
 HR_COUNTER(peer_links_refused, links, "peer links refused at the link limit")
 HR_COUNTER(peer_links_silent, links, "peer links closed for silence")
+HR_COUNTER(peer_links_stalled, links,
+           "peer links found quiet before the silence limit")
 HR_COUNTER(peer_bad_length, frames, "peer frames with an invalid length")
 HR_COUNTER(peer_bad_frames, frames, "peer frames that are malformed")
 HR_COUNTER(peer_wrong_cluster, links, "peer links from another cluster")
--- a/src/daemon-peer.c
+++ b/src/daemon-peer.c
@@ -69,6 +69,7 @@
         }
         sub.query = requests[i].query;
         sub.sub_id = requests[i].sub_id;
+        sub.idempotent = requests[i].idempotent;
         if (HrPending_Add(peer->pending, &sub) != HR_OK) {
             report_failure(peer, &sub.query, sub.sub_id, true);
         }
@@ -335,6 +336,27 @@
     }
 }
 
+/* Makes the gathers send the idempotent sub-requests of a stalled link
+ * elsewhere. The others wait for their answers until the link is closed. */
+static void
+move_pending(PeerTask *peer, uint64_t link)
+{
+    HrPendingSub sub;
+
+    while (HrPending_MoveOfLink(peer->pending, link, &sub)) {
+        report_failure(peer, &sub.query, sub.sub_id, true);
+    }
+}
+
+/* Returns true if a sub-request waits for its answer on a link. */
+static bool
+awaits_answer(void *arg, uint64_t link)
+{
+    const PeerTask *peer = arg;
+
+    return HrPending_HasLink(peer->pending, link);
+}
+
 /* Tells the scheduling tasks that nobody waits for the answers to a link. */
 static void
 report_link_closed(PeerTask *peer, uint64_t link)
@@ -365,6 +387,9 @@
     case HR_PEER_EVENT_UNSENT:
         fail_pending(peer, event->link, event->tag, false);
         break;
+    case HR_PEER_EVENT_STALLED:
+        move_pending(peer, event->link);
+        break;
     case HR_PEER_EVENT_CLOSED:
         fail_pending(peer, event->link, 0, true);
         report_link_closed(peer, event->link);
@@ -396,6 +421,7 @@
     config.idle_ms = settings->peer_idle_ms;
     config.counters = daemon->counters;
     config.fn = handle_event;
+    config.awaits = awaits_answer;
     config.arg = peer;
     peer->node = HrPeerNode_Create(peer, task->loop, &config, err);
     if (peer->node == NULL || peer->pending == NULL) {
--- a/src/daemon-pending.c
+++ b/src/daemon-pending.c
@@ -175,6 +175,33 @@
     return false;
 }
 
+/* Marks one idempotent sub-request of a link as moved and yields it. */
+bool
+HrPending_MoveOfLink(HrPending *pending, uint64_t number, HrPendingSub *sub)
+{
+    Link *link = find_link(pending, number);
+    Entry *entry;
+
+    if (link == NULL) {
+        return false;
+    }
+    TAILQ_FOREACH (entry, &link->entries, of_link) {
+        if (entry->sub.idempotent && !entry->sub.moved) {
+            entry->sub.moved = true;
+            *sub = entry->sub;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns true if a sub-request of a link waits. */
+bool
+HrPending_HasLink(const HrPending *pending, uint64_t number)
+{
+    return find_link(pending, number) != NULL;
+}
+
 /* Returns the number of sub-requests that wait. */
 uint32_t
 HrPending_Count(const HrPending *pending)
--- a/src/daemon-pending.h
+++ b/src/daemon-pending.h
@@ -16,6 +16,8 @@
     uint32_t sub_id;
     uint64_t link;
     uint64_t tag; /* of the batch */
+    bool idempotent;
+    bool moved; /* sent elsewhere as well, because its link has stalled */
 } HrPendingSub;
 
 /* Creates an empty table. */
@@ -33,6 +35,15 @@
 bool HrPending_TakeOfLink(HrPending *pending, uint64_t link, uint64_t tag,
                           HrPendingSub *sub);
 
+/* Marks one idempotent sub-request of a link as moved and yields it, without
+ * removing it: its answer may still come. Returns false when there is none
+ * left. */
+bool HrPending_MoveOfLink(HrPending *pending, uint64_t link,
+                          HrPendingSub *sub);
+
+/* Returns true if a sub-request of a link waits. */
+bool HrPending_HasLink(const HrPending *pending, uint64_t link);
+
 /* Returns the number of sub-requests that wait. */
 uint32_t HrPending_Count(const HrPending *pending);
 
--- a/src/trans-peer-link.c
+++ b/src/trans-peer-link.c
@@ -100,6 +100,23 @@
     return HR_OK;
 }
 
+/* Arms the timer of a link for a time. */
+static void
+arm_timer(HrPeerLink *link, int64_t at_ns)
+{
+    link->timer_at_ns = at_ns;
+    HrLoop_SetTimer(link->owner->loop, link->timer, at_ns);
+}
+
+/* Makes the timer of a link fire at a time at the latest. */
+static void
+advance_timer(HrPeerLink *link, int64_t at_ns)
+{
+    if (link->state != HR_PEER_LINK_CLOSED && at_ns < link->timer_at_ns) {
+        arm_timer(link, at_ns);
+    }
+}
+
 /* Queues an encoded frame. */
 int
 HrPeerLink_Queue(HrPeerLink *link, HrBytes bytes, uint64_t tag)
@@ -111,7 +128,11 @@
         return HR_ERR_FULL;
     }
     link->used_ns = HrLoop_NowNs(link->owner->loop);
-    link->sent_since_received = true;
+    if (!link->sent_since_received) {
+        link->sent_since_received = true;
+        link->waiting_since_ns = link->used_ns;
+        advance_timer(link, HrPeerStall_NextCheck(link));
+    }
     return append_queue(link, &link->queue, bytes, tag);
 }
 
@@ -125,6 +146,17 @@
     return rc == HR_OK ? append_queue(link, &link->handshake, bytes, 0) : rc;
 }
 
+/* Sends a ping. */
+void
+HrPeerLink_SendPing(HrPeerLink *link, int64_t now_ns)
+{
+    HrPeerFrame ping = {.kind = HR_PEER_PING, .u.ping = (uint64_t)now_ns};
+
+    link->ping_open = true;
+    link->ping_sent_ns = now_ns;
+    HrPeerLink_QueueFirst(link, &ping);
+}
+
 /* Returns the queue to write from: a frame that is written in part goes on;
  * otherwise the first queue wins. */
 static struct HrPeerQueue *
@@ -306,6 +338,11 @@
 note_received(HrPeerLink *link)
 {
     link->received_ns = HrLoop_NowNs(link->owner->loop);
+    if (link->path != NULL && link->sent_since_received &&
+        link->state == HR_PEER_LINK_READY) {
+        HrPeerDelay_Record(&link->path->delay,
+                           link->received_ns - link->waiting_since_ns);
+    }
     link->ping_open = false;
     link->sent_since_received = false;
 }
@@ -380,7 +417,6 @@
 check_silence(HrPeerLink *link, int64_t now_ns)
 {
     const HrPeerNodeConfig *config = link->owner->config;
-    HrPeerFrame ping = {.kind = HR_PEER_PING, .u.ping = (uint64_t)now_ns};
 
     if (link->ping_open &&
         now_ns - link->ping_sent_ns >= config->silence_ms * HR_NS_PER_MS) {
@@ -390,9 +426,7 @@
     }
     if (!link->ping_open && link->sent_since_received &&
         now_ns - link->received_ns >= config->ping_ms * HR_NS_PER_MS) {
-        link->ping_open = true;
-        link->ping_sent_ns = now_ns;
-        HrPeerLink_QueueFirst(link, &ping);
+        HrPeerLink_SendPing(link, now_ns);
     }
     return true;
 }
@@ -419,8 +453,11 @@
         HrPeerLink_Close(link, HR_OK);
         return;
     }
-    HrLoop_SetTimer(link->owner->loop, link->timer,
-                    now_ns + config->ping_ms * HR_NS_PER_MS / TICK_DIVISOR);
+    if (!HrPeerStall_Check(link, now_ns)) {
+        return;
+    }
+    arm_timer(link, now_ns + config->ping_ms * HR_NS_PER_MS / TICK_DIVISOR);
+    advance_timer(link, HrPeerStall_NextCheck(link));
 }
 
 /* Creates a link on a connecting or accepted socket. */
--- a/src/trans-peer-link.h
+++ b/src/trans-peer-link.h
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "proto-peer-codec.h"
+#include "trans-peer-stall.h"
 #include "trans-peer.h"
 
 /* Before the handshake a frame is at most this long. */
@@ -32,6 +33,14 @@
 
 typedef struct HrPeerLink HrPeerLink;
 
+/* What is known of an address beyond the end of its links. */
+typedef struct HrPeerPath {
+    UT_hash_handle hh;
+    char address[HR_ADDRESS_BYTES];
+    uint32_t links;
+    HrPeerDelay delay;
+} HrPeerPath;
+
 /* What a link tells its node. */
 typedef struct HrPeerLinkOwner {
     HrLoop *loop;
@@ -50,6 +59,8 @@
     uint64_t number;
     bool outbound;
     bool current; /* the link that new frames to the address take */
+    bool stalled;
+    HrPeerPath *path; /* NULL: the link was accepted */
     char address[HR_ADDRESS_BYTES];
     HrPeerLinkState state;
     int fd;
@@ -61,6 +72,8 @@
     int64_t ping_sent_ns;
     bool ping_open; /* no byte has arrived since the ping was sent */
     bool sent_since_received;
+    int64_t waiting_since_ns; /* first frame sent since the last byte */
+    int64_t timer_at_ns;
     uint64_t peer_id; /* authenticated once the link is ready */
     uint8_t own_nonce[HR_PEER_NONCE_BYTES];
     uint8_t peer_nonce[HR_PEER_NONCE_BYTES];
@@ -83,6 +96,9 @@
  * HR_ERR_FULL or HR_ERR_NO_MEMORY. */
 int HrPeerLink_Queue(HrPeerLink *link, HrBytes bytes, uint64_t tag);
 
+/* Sends a ping. */
+void HrPeerLink_SendPing(HrPeerLink *link, int64_t now_ns);
+
 /* Closes the link and tells the owner; a second call does nothing. */
 void HrPeerLink_Close(HrPeerLink *link, int error);
 
--- a/src/trans-peer.c
+++ b/src/trans-peer.c
@@ -32,6 +32,7 @@
     HrLoopTimer *reap_timer;
     HrPeerLink *links;      /* hash by number */
     HrPeerLink *by_address; /* hash of current outbound links */
+    HrPeerPath *paths;      /* hash by address */
     struct ClosedList closed;
     uint32_t inbound_count;
     uint32_t outbound_count;
@@ -74,6 +75,42 @@
     }
 }
 
+/* Forgets the addresses to which no link is open. */
+static void
+drop_unused_paths(HrPeerNode *node)
+{
+    HrPeerPath *path, *next;
+
+    HASH_ITER (hh, node->paths, path, next) {
+        if (path->links == 0) {
+            HASH_DELETE(hh, node->paths, path);
+            talloc_free(path);
+        }
+    }
+}
+
+/* Returns what is known of an address; NULL when memory runs out. The number
+ * of addresses is bounded because VMs are replaced under new ones. */
+static HrPeerPath *
+obtain_path(HrPeerNode *node, const char *address)
+{
+    HrPeerPath *path = NULL;
+
+    HASH_FIND_STR(node->paths, address, path);
+    if (path != NULL) {
+        return path;
+    }
+    if (HASH_COUNT(node->paths) >= 2 * node->config.max_links) {
+        drop_unused_paths(node);
+    }
+    path = talloc_zero(node, HrPeerPath);
+    if (path != NULL) {
+        snprintf(path->address, sizeof(path->address), "%s", address);
+        HASH_ADD_STR(node->paths, address, path);
+    }
+    return path;
+}
+
 /* Forgets a link that has ended and frees it in the next round. */
 static void
 handle_closed(void *arg, HrPeerLink *link, int error)
@@ -86,6 +123,10 @@
 
     retire_link(node, link);
     HASH_DELETE(by_number, node->links, link);
+    if (link->path != NULL) {
+        link->path->links--;
+        link->path = NULL;
+    }
     if (link->outbound) {
         node->outbound_count--;
     }
@@ -190,6 +231,7 @@
     }
     HrLoop_RemoveFd(node->loop, node->listen_watch);
     HrLoop_RemoveTimer(node->loop, node->reap_timer);
+    HASH_CLEAR(hh, node->paths);
     close(node->listen_fd);
     return 0;
 }
@@ -307,6 +349,10 @@
         retire_link(node, former);
     }
     snprintf(link->address, sizeof(link->address), "%s", address);
+    link->path = obtain_path(node, address);
+    if (link->path != NULL) {
+        link->path->links++;
+    }
     HASH_ADD(by_address, node->by_address, address, strlen(link->address),
              link);
     link->current = true;
@@ -348,7 +394,7 @@
         HASH_FIND(by_address, node->by_address, address, strlen(address),
                   link);
     }
-    if (link == NULL) {
+    if (link == NULL || link->stalled) {
         link = open_link(node, address, &error);
     }
     if (link == NULL) {
--- a/src/trans-peer.h
+++ b/src/trans-peer.h
@@ -13,10 +13,13 @@
 typedef struct HrPeerNode HrPeerNode;
 
 typedef enum HrPeerEventKind {
-    HR_PEER_EVENT_FRAME,  /* frame: from an authenticated daemon */
-    HR_PEER_EVENT_UNSENT, /* tag: no byte of the frame left this VM */
-    HR_PEER_EVENT_CLOSED, /* error: frames that were handed to the link and
-                             not answered may or may not have arrived */
+    HR_PEER_EVENT_FRAME,   /* frame: from an authenticated daemon */
+    HR_PEER_EVENT_UNSENT,  /* tag: no byte of the frame left this VM */
+    HR_PEER_EVENT_STALLED, /* the link owes an answer and has been quiet for
+                              longer than earlier answers took; new frames to
+                              the address take another link */
+    HR_PEER_EVENT_CLOSED,  /* error: frames that were handed to the link and
+                              not answered may or may not have arrived */
 } HrPeerEventKind;
 
 typedef struct HrPeerEvent {
@@ -32,6 +35,9 @@
  * before its CLOSED event. It may send, but not free the node. */
 typedef void HrPeerEventFn(void *arg, const HrPeerEvent *event);
 
+/* Returns true if the layer above awaits an answer on a link. */
+typedef bool HrPeerAwaitsFn(void *arg, uint64_t link);
+
 typedef struct HrPeerNodeConfig {
     const char *cluster;
     const uint8_t *key; /* of crypto_auth_KEYBYTES */
@@ -45,6 +51,8 @@
     int64_t idle_ms;      /* without frames, until the link is closed */
     HrCounters *counters; /* may be NULL */
     HrPeerEventFn *fn;
+    HrPeerAwaitsFn *awaits; /* NULL: an answer is awaited from each frame
+                               until the next byte arrives */
     void *arg;
 } HrPeerNodeConfig;
 
--- a/tests/common-callers.c
+++ b/tests/common-callers.c
@@ -298,10 +298,20 @@
     return false;
 }
 
+/* Raises a maximum. */
+static void
+raise_to(int64_t *maximum, int64_t value)
+{
+    if (value > *maximum) {
+        *maximum = value;
+    }
+}
+
 /* Counts an answer and its time; after a failure the caller changes over to
  * the next daemon. */
 static void
-note_answer(Caller *caller, const TestAnswer *answer, int64_t sent_ms)
+note_answer(Caller *caller, const TestAnswer *answer, int64_t sent_ms,
+            bool booking)
 {
     const TestCallers *owner = caller->owner;
     int64_t now_ms = TestClock_WallMs();
@@ -315,9 +325,9 @@
         caller->index = (caller->index + 1) % owner->cluster->daemon_count;
     }
     caller->tally.late += now_ms - sent_ms > limit_ms;
-    if (now_ms - sent_ms > caller->tally.slowest_ms) {
-        caller->tally.slowest_ms = now_ms - sent_ms;
-    }
+    raise_to(booking ? &caller->tally.slowest_booking_ms
+                     : &caller->tally.slowest_query_ms,
+             now_ms - sent_ms);
 }
 
 /* Sends a booking, and a copy of it through another daemon when its outcome
@@ -340,7 +350,7 @@
     booking->done = strcmp(TestAnswer_Text(&answer, "status"), "done") == 0;
     booking->not_run = json_is_true(json_object_get(answer.json, "not_run"));
     open = !booking->done && !booking->not_run;
-    note_answer(caller, &answer, sent_ms);
+    note_answer(caller, &answer, sent_ms, true);
     TestAnswer_Release(&answer);
     if (open) {
         answer = TestCluster_Book(owner->cluster, caller->index, booking->id,
@@ -372,7 +382,7 @@
             wide ? !TestAnswer_IsTrue(&answer, owner->cluster->groups)
                  : !parts_match(&answer);
     }
-    note_answer(caller, &answer, sent_ms);
+    note_answer(caller, &answer, sent_ms, false);
     TestAnswer_Release(&answer);
 }
 
@@ -434,12 +444,9 @@
     sum->no_answer += tally->no_answer;
     sum->late += tally->late;
     sum->untrue += tally->untrue;
-    if (tally->last_failure_ms > sum->last_failure_ms) {
-        sum->last_failure_ms = tally->last_failure_ms;
-    }
-    if (tally->slowest_ms > sum->slowest_ms) {
-        sum->slowest_ms = tally->slowest_ms;
-    }
+    raise_to(&sum->last_failure_ms, tally->last_failure_ms);
+    raise_to(&sum->slowest_query_ms, tally->slowest_query_ms);
+    raise_to(&sum->slowest_booking_ms, tally->slowest_booking_ms);
 }
 
 /* Returns how many bookings ran twice, or not as their answers say. */
@@ -503,10 +510,12 @@
     }
     print_message("%s: %u complete, %u partial, %u done, %u unknown, %u "
                   "refused not run, %u refused, %u without an answer, %u "
-                  "late, %zu bookings ran, slowest %lld ms\n",
+                  "late, %zu bookings ran, slowest query %lld ms, booking "
+                  "%lld ms\n",
                   title, sum.complete, sum.partial, sum.done, sum.unknown,
                   sum.refused_not_run, sum.refused, sum.no_answer, sum.late,
-                  json_object_size(runs), (long long)sum.slowest_ms);
+                  json_object_size(runs), (long long)sum.slowest_query_ms,
+                  (long long)sum.slowest_booking_ms);
     json_decref(runs);
     free_callers(callers);
     assert_int_equal(sum.untrue, 0);
--- a/tests/common-process.c
+++ b/tests/common-process.c
@@ -238,14 +238,17 @@
             "{\"cluster\":\"test\",\"data_centre\":\"dc%u\","
             "\"region\":\"r1\",\"caller\":{\"listen\":\"127.0.0.1:%u\"},"
             "\"operator\":{\"listen\":\"127.0.0.1:%u\",\"token\":\"%s\"},"
-            "\"peer\":{\"listen\":\"127.0.0.1:%u\",\"key\":\"%s\","
+            "\"peer\":{\"listen\":\"127.0.0.1:%u\","
+            "\"advertise\":\"127.0.0.1:%u\",\"key\":\"%s\","
             "\"seeds\":[\"127.0.0.1:%u\"]},"
             "\"store\":{\"address\":\"127.0.0.1:%u\"},"
             "\"tasks\":{\"query\":2,\"sched\":2},"
             "\"timing\":{\"entries_keep_ms\":500,\"status_poll_ms\":200}}\n",
             index % 3, daemon->caller_port, daemon->operator_port, TEST_TOKEN,
-            daemon->peer_port, KEY, cluster->daemons[0].peer_port,
-            cluster->platform_port);
+            daemon->peer_port,
+            daemon->peer_advertised_port != 0 ? daemon->peer_advertised_port
+                                              : daemon->peer_port,
+            KEY, cluster->daemons[0].peer_port, cluster->platform_port);
     fclose(file);
 }
 
--- a/tests/common-process.h
+++ b/tests/common-process.h
@@ -18,6 +18,7 @@
     uint16_t caller_port;
     uint16_t operator_port;
     uint16_t peer_port;
+    uint16_t peer_advertised_port; /* given to other daemons; 0: peer_port */
 } TestDaemon;
 
 /* A platform, one pool of backend servers and some daemons. */
--- /dev/null
+++ b/tests/common-relay.c
@@ -0,0 +1,226 @@
+#include "common-relay.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <pthread.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define PAIRS_MAX 256
+#define POLL_MS 20
+#define CHUNK_BYTES 65536
+
+/* One connection and its counterpart; an unused place has fd -1. */
+typedef struct Pair {
+    int fd[2];
+    bool silent;
+} Pair;
+
+struct TestRelay {
+    pthread_t thread;
+    pthread_mutex_t mutex; /* guards the pairs */
+    int listen_fd;
+    uint16_t port;
+    uint16_t target_port;
+    bool stop;
+    Pair pairs[PAIRS_MAX];
+};
+
+/* Returns the address of a port of loopback. */
+static struct sockaddr_in
+loopback(uint16_t port)
+{
+    struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_port = htons(port),
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+
+    return in;
+}
+
+/* Closes a pair. */
+static void
+close_pair(Pair *pair)
+{
+    close(pair->fd[0]);
+    close(pair->fd[1]);
+    pair->fd[0] = pair->fd[1] = -1;
+    pair->silent = false;
+}
+
+/* Connects an accepted connection to the target. */
+static void
+add_pair(TestRelay *relay, int accepted)
+{
+    struct sockaddr_in in = loopback(relay->target_port);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    uint32_t i;
+
+    if (connect(fd, (struct sockaddr *)&in, sizeof(in)) == 0) {
+        for (i = 0; i < PAIRS_MAX; i++) {
+            if (relay->pairs[i].fd[0] < 0) {
+                relay->pairs[i].fd[0] = accepted;
+                relay->pairs[i].fd[1] = fd;
+                return;
+            }
+        }
+    }
+    close(fd);
+    close(accepted);
+}
+
+/* Forwards what has arrived on one side; returns false at its end. */
+static bool
+forward(int from, int to)
+{
+    uint8_t chunk[CHUNK_BYTES];
+    ssize_t length = recv(from, chunk, sizeof(chunk), MSG_DONTWAIT), at = 0;
+
+    while (at < length) {
+        ssize_t sent =
+            send(to, chunk + at, (size_t)(length - at), MSG_NOSIGNAL);
+
+        if (sent < 0) {
+            return false;
+        }
+        at += sent;
+    }
+    return length > 0;
+}
+
+/* Lists the descriptors to wait for: the listener, then both sides of each
+ * pair. A silent pair is left out: its bytes stay unread. */
+static void
+fill_polls(const TestRelay *relay, struct pollfd *polls)
+{
+    uint32_t i, side;
+
+    polls[0] = (struct pollfd){relay->listen_fd, POLLIN, 0};
+    for (i = 0; i < PAIRS_MAX; i++) {
+        for (side = 0; side < 2; side++) {
+            int fd = relay->pairs[i].silent ? -1 : relay->pairs[i].fd[side];
+
+            polls[1 + 2 * i + side] = (struct pollfd){fd, POLLIN, 0};
+        }
+    }
+}
+
+/* Forwards what has arrived. */
+static void
+serve_pairs(TestRelay *relay, const struct pollfd *polls)
+{
+    uint32_t i, side;
+
+    for (i = 0; i < PAIRS_MAX; i++) {
+        Pair *pair = &relay->pairs[i];
+
+        for (side = 0; side < 2; side++) {
+            if (polls[1 + 2 * i + side].revents != 0 && !pair->silent &&
+                pair->fd[0] >= 0 &&
+                !forward(pair->fd[side], pair->fd[1 - side])) {
+                close_pair(pair);
+            }
+        }
+    }
+}
+
+/* Serves connections until it is told to stop. */
+static void *
+run_relay(void *arg)
+{
+    struct pollfd polls[1 + 2 * PAIRS_MAX];
+    TestRelay *relay = arg;
+
+    while (!__atomic_load_n(&relay->stop, __ATOMIC_ACQUIRE)) {
+        pthread_mutex_lock(&relay->mutex);
+        fill_polls(relay, polls);
+        pthread_mutex_unlock(&relay->mutex);
+        if (poll(polls, 1 + 2 * PAIRS_MAX, POLL_MS) <= 0) {
+            continue;
+        }
+        pthread_mutex_lock(&relay->mutex);
+        serve_pairs(relay, polls);
+        if (polls[0].revents != 0) {
+            add_pair(relay,
+                     accept4(relay->listen_fd, NULL, NULL, SOCK_CLOEXEC));
+        }
+        pthread_mutex_unlock(&relay->mutex);
+    }
+    return NULL;
+}
+
+/* Starts a relay to a port of loopback. */
+TestRelay *
+TestRelay_Start(uint16_t target_port)
+{
+    TestRelay *relay = calloc(1, sizeof(*relay));
+    struct sockaddr_in in = loopback(0);
+    socklen_t length = sizeof(in);
+    uint32_t i;
+
+    for (i = 0; i < PAIRS_MAX; i++) {
+        relay->pairs[i].fd[0] = relay->pairs[i].fd[1] = -1;
+    }
+    relay->target_port = target_port;
+    relay->listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    assert_int_equal(
+        bind(relay->listen_fd, (struct sockaddr *)&in, sizeof(in)), 0);
+    assert_int_equal(listen(relay->listen_fd, 64), 0);
+    assert_int_equal(
+        getsockname(relay->listen_fd, (struct sockaddr *)&in, &length), 0);
+    relay->port = ntohs(in.sin_port);
+    pthread_mutex_init(&relay->mutex, NULL);
+    assert_int_equal(pthread_create(&relay->thread, NULL, run_relay, relay),
+                     0);
+    return relay;
+}
+
+/* Returns the port that the relay listens on. */
+uint16_t
+TestRelay_Port(const TestRelay *relay)
+{
+    return relay->port;
+}
+
+/* Stops forwarding on the connections that are open now. */
+uint32_t
+TestRelay_Silence(TestRelay *relay)
+{
+    uint32_t i, count = 0;
+
+    pthread_mutex_lock(&relay->mutex);
+    for (i = 0; i < PAIRS_MAX; i++) {
+        if (relay->pairs[i].fd[0] >= 0) {
+            relay->pairs[i].silent = true;
+            count++;
+        }
+    }
+    pthread_mutex_unlock(&relay->mutex);
+    return count;
+}
+
+/* Closes every connection and stops the relay. */
+void
+TestRelay_Stop(TestRelay *relay)
+{
+    uint32_t i;
+
+    __atomic_store_n(&relay->stop, true, __ATOMIC_RELEASE);
+    pthread_join(relay->thread, NULL);
+    for (i = 0; i < PAIRS_MAX; i++) {
+        if (relay->pairs[i].fd[0] >= 0) {
+            close_pair(&relay->pairs[i]);
+        }
+    }
+    close(relay->listen_fd);
+    pthread_mutex_destroy(&relay->mutex);
+    free(relay);
+}
--- a/tests/test-daemon-parts.c
+++ b/tests/test-daemon-parts.c
@@ -78,7 +78,8 @@
     HrPendingSub sub = {.query = {1, 2, HrRng_Below(rng, 40)},
                         .sub_id = (uint32_t)HrRng_Below(rng, 8),
                         .link = HrRng_Below(rng, 6) + 1,
-                        .tag = HrRng_Below(rng, 20) + 1};
+                        .tag = HrRng_Below(rng, 20) + 1,
+                        .idempotent = HrRng_Chance(rng, 0.7)};
     bool known =
         naive_find(naive, sub.query.counter, sub.sub_id) < naive->count;
 
@@ -120,8 +121,33 @@
     }
 }
 
-/* Guards against sub-requests that are lost or reported for another link:
- * compares the table with a list over random steps. */
+/* Moves one sub-request of a random link in both tables. */
+static void
+step_move(HrPending *pending, NaivePending *naive, HrRng *rng)
+{
+    uint64_t link = HrRng_Below(rng, 6) + 1;
+    HrPendingSub found;
+    bool moved = HrPending_MoveOfLink(pending, link, &found);
+    uint32_t i = 0;
+
+    while (i < naive->count &&
+           (naive->subs[i].link != link || !naive->subs[i].idempotent ||
+            naive->subs[i].moved)) {
+        i++;
+    }
+    assert_int_equal(moved, i < naive->count);
+    if (moved) {
+        naive->subs[i].moved = true;
+        assert_true(found.query.counter == naive->subs[i].query.counter &&
+                    found.sub_id == naive->subs[i].sub_id);
+    }
+    assert_int_equal(HrPending_HasLink(pending, link),
+                     naive_find_of_link(naive, link, 0) < naive->count);
+}
+
+/* Guards against sub-requests that are lost, reported for another link or
+ * moved twice, and against one that must not be repeated and is: compares the
+ * table with a list over random steps. */
 static void
 test_pending_matches_list(void **state)
 {
@@ -139,6 +165,9 @@
         else {
             step_take(pending, &naive, &rng);
         }
+        if (HrRng_Chance(&rng, 0.1)) {
+            step_move(pending, &naive, &rng);
+        }
         assert_int_equal(HrPending_Count(pending), naive.count);
     }
     talloc_free(pending);
--- a/tests/test-trans-peer.c
+++ b/tests/test-trans-peer.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <math.h>
 #include <netinet/in.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -14,6 +15,7 @@
 
 #include "base-rng.h"
 #include "common-thread.h"
+#include "trans-peer-stall.h"
 #include "trans-peer.h"
 
 #define SEED UINT64_C(20261206)
@@ -98,6 +100,7 @@
     uint32_t answers;
     uint32_t wrong;
     uint32_t unsent;
+    uint32_t stalled;
     uint32_t closed;
     uint64_t last_tag;
 } Seen;
@@ -120,6 +123,9 @@
         seen->unsent++;
         seen->last_tag = event->tag;
         break;
+    case HR_PEER_EVENT_STALLED:
+        seen->stalled++;
+        break;
     case HR_PEER_EVENT_CLOSED:
         seen->closed++;
         break;
@@ -349,10 +355,45 @@
                                HR_COUNTER_peer_bad_frames) > 0);
 }
 
+/* Guards against a limit that drifts from the observed delays: compares it
+ * with the same estimate in floating point, over delays whose size changes,
+ * and checks its bounds. */
+static void
+test_delay_matches_naive(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    const int64_t most_ns = HR_NS_PER_S;
+    HrPeerDelay delay = {0, 0};
+    double mean = 0, deviation = 0, size_ns = 2e6, expected;
+    int step;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    assert_int_equal(HrPeerDelay_Limit(&delay, most_ns), most_ns);
+    for (step = 0; step < 20000; step++) {
+        int64_t sample_ns = 1 + (int64_t)(size_ns * HrRng_Unit(&rng));
+        double error = (double)sample_ns - mean;
+
+        HrPeerDelay_Record(&delay, sample_ns);
+        mean = step == 0 ? (double)sample_ns : mean + error / 8;
+        deviation = step == 0 ? (double)sample_ns / 2
+                              : deviation + (fabs(error) - deviation) / 4;
+        expected = mean + 4 * deviation;
+        expected = expected < 20e6 ? 20e6 : expected;
+        expected = expected > (double)most_ns ? (double)most_ns : expected;
+        assert_true(fabs((double)HrPeerDelay_Limit(&delay, most_ns) -
+                         expected) < 1000);
+        if (step % 500 == 499) {
+            size_ns = 1e5 * pow(10, 4.5 * HrRng_Unit(&rng));
+        }
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_delay_matches_naive),
         cmocka_unit_test(test_batches_are_answered),
         cmocka_unit_test(test_unsent_frames_are_reported),
         cmocka_unit_test(test_strangers_are_refused),
