Wait in a shutdown until every daemon knows of it

Cause: the drain waited for 1.2 times the keep time of the entry list, from its own start. The announcement goes to three random members, drawn with replacement, and reaches the others by the probes of the next seconds. Until then they hand out lists with the leaving daemon, whose callers it refused.

Ruled out: the jitter of the keep time, which the wait covers; a draining daemon that names itself, which it does not do. An announcement to all members at once would not be enough, because it can be lost on a silent link.

--- a/src/coord-drain.c
+++ b/src/coord-drain.c
@@ -45,15 +45,16 @@
     push_action(drain, HR_DRAIN_ACTION_EXIT, drain->open);
 }
 
-/* Enters the step that follows SERVING. */
+/* Enters the step that follows SERVING. Until all others know of the shutdown
+ * they hand out lists with this daemon, and callers keep the last of these. */
 static void
-begin_leaving(HrDrain *drain, int64_t now_ns)
+begin_leaving(HrDrain *drain, int64_t spread_ns, int64_t now_ns)
 {
     if (drain->step != HR_DRAIN_SERVING) {
         return;
     }
     drain->step = HR_DRAIN_LEAVING;
-    drain->step_ends_ns = now_ns + drain->config.keep_ns;
+    drain->step_ends_ns = now_ns + spread_ns + drain->config.keep_ns;
     push_action(drain, HR_DRAIN_ACTION_LEAVE, 0);
 }
 
@@ -109,7 +110,7 @@
     }
     switch (event->kind) {
     case HR_DRAIN_EVENT_START:
-        begin_leaving(drain, event->now_ns);
+        begin_leaving(drain, event->u.spread_ns, event->now_ns);
         break;
     case HR_DRAIN_EVENT_OPEN:
         drain->open = event->u.open;
--- a/src/coord-drain.h
+++ b/src/coord-drain.h
@@ -36,6 +36,7 @@
     int64_t now_ns;
     union {
         uint32_t open;
+        int64_t spread_ns; /* START: until every other daemon knows of it */
     } u;
 } HrDrainEvent;
 
--- a/src/daemon-control-drain.c
+++ b/src/daemon-control-drain.c
@@ -149,6 +149,9 @@
     HrDrainEvent event = {.kind = drain->signalled ? HR_DRAIN_EVENT_FORCE
                                                    : HR_DRAIN_EVENT_START};
 
+    if (event.kind == HR_DRAIN_EVENT_START) {
+        event.u.spread_ns = HrControlMember_SpreadNs(drain->control->member);
+    }
     drain->signalled = true;
     HrControlDrain_OpenChanged(drain);
     handle_event(drain, &event);
--- a/src/daemon-control-member.c
+++ b/src/daemon-control-member.c
@@ -263,3 +263,16 @@
     fire_vm_list(member);
     return member;
 }
+
+/* Returns how long a change of this daemon's state takes to reach every other
+ * one. A suspicion lasts just as long, so that it can be refuted. */
+int64_t
+HrControlMember_SpreadNs(const HrControlMember *member)
+{
+    const HrMemberView *view =
+        HrSnapshots_Members(member->control->task->daemon->snapshots);
+
+    return view != NULL && view->member_count > 1
+               ? HrMembership_SuspicionNs(member->membership)
+               : 0;
+}
--- a/src/daemon-control-state.h
+++ b/src/daemon-control-state.h
@@ -67,6 +67,7 @@
                              HrBytes bytes);
 void HrControlMember_Leave(HrControlMember *member);
 void HrControlMember_SetSpare(HrControlMember *member, uint32_t percent);
+int64_t HrControlMember_SpreadNs(const HrControlMember *member);
 
 /* daemon-control-config.c */
 HrControlConfig *HrControlConfig_Create(HrControl *control);
--- a/tests/common-callers.c
+++ b/tests/common-callers.c
@@ -15,6 +15,7 @@
 #define DEFAULT_DEADLINE_MS 5000
 #define ENTRIES_MAX 8
 #define SHARD_NAME_BYTES 32
+#define FAILURES_PRINTED 3
 
 /* A booking that was sent, with what its first answer said. */
 typedef struct Booking {
@@ -42,6 +43,7 @@
     const TestCluster *cluster;
     TestCallersConfig config;
     bool stop;
+    int64_t started_ms;
     Caller *callers;
 };
 
@@ -245,11 +247,14 @@
 follow_entries(Caller *caller)
 {
     const TestCluster *cluster = caller->owner->cluster;
+    const uint32_t *from = caller->owner->config.list_daemon;
 
+    if (from == NULL) {
+        from = &caller->index;
+    }
     if (TestClock_WallMs() >= caller->entries_end_ms) {
-        TestAnswer answer =
-            TestHttp_Send(cluster->daemons[caller->index].caller_port,
-                          "/v1/entries", NULL, NULL);
+        TestAnswer answer = TestHttp_Send(cluster->daemons[*from].caller_port,
+                                          "/v1/entries", NULL, NULL);
 
         if (answer.status == 200) {
             take_entries(caller, &answer);
@@ -307,6 +312,27 @@
     }
 }
 
+/* Prints the first failures of a caller. */
+static void
+print_failure(const Caller *caller, const TestAnswer *answer, int64_t sent_ms,
+              bool booking)
+{
+    const TestTally *tally = &caller->tally;
+
+    if (tally->partial + tally->unknown + tally->refused_not_run +
+            tally->refused + tally->no_answer <=
+        FAILURES_PRINTED) {
+        print_message("caller %u, after %lld ms: %s through daemon %u ended "
+                      "after %lld ms: HTTP %d %s %s\n",
+                      caller->number,
+                      (long long)(sent_ms - caller->owner->started_ms),
+                      booking ? "booking" : "query", caller->index,
+                      (long long)(TestClock_WallMs() - sent_ms),
+                      answer->status, TestAnswer_Text(answer, "status"),
+                      TestAnswer_Text(answer, "reason"));
+    }
+}
+
 /* Counts an answer and its time; after a failure the caller changes over to
  * the next daemon. */
 static void
@@ -322,6 +348,7 @@
 
     if (!count_answer(&caller->tally, answer)) {
         caller->tally.last_failure_ms = now_ms;
+        print_failure(caller, answer, sent_ms, booking);
         caller->index = (caller->index + 1) % owner->cluster->daemon_count;
     }
     caller->tally.late += now_ms - sent_ms > limit_ms;
@@ -418,6 +445,7 @@
 
     callers->cluster = cluster;
     callers->config = *config;
+    callers->started_ms = TestClock_WallMs();
     callers->callers = calloc(config->count, sizeof(*callers->callers));
     for (i = 0; i < config->count; i++) {
         Caller *caller = &callers->callers[i];
--- a/tests/common-callers.h
+++ b/tests/common-callers.h
@@ -11,12 +11,14 @@
 
 /* What the callers do. */
 typedef struct TestCallersConfig {
-    uint32_t count;       /* threads */
-    bool book;            /* every third request is a booking */
-    bool follow_entries;  /* use the addresses of GET /v1/entries only; else
-                             change over to the next daemon after a failure */
-    uint32_t deadline_ms; /* 0: the route's */
-    uint32_t pause_ms;    /* between two requests of a caller */
+    uint32_t count;      /* threads */
+    bool book;           /* every third request is a booking */
+    bool follow_entries; /* use the addresses of GET /v1/entries only; else
+                            change over to the next daemon after a failure */
+    const uint32_t *list_daemon; /* asked for the entry list; NULL: one of the
+                                    former list */
+    uint32_t deadline_ms;        /* 0: the route's */
+    uint32_t pause_ms;           /* between two requests of a caller */
 } TestCallersConfig;
 
 /* What the callers saw. */
--- a/tests/common-process.c
+++ b/tests/common-process.c
@@ -375,7 +375,7 @@
 
 /* Waits until a daemon answers a search completely. */
 void
-TestCluster_WaitServing(TestCluster *cluster, uint32_t index)
+TestCluster_WaitServing(const TestCluster *cluster, uint32_t index)
 {
     int64_t end_ms = TestClock_WallMs() + SERVING_LIMIT_MS;
 
--- a/tests/common-process.h
+++ b/tests/common-process.h
@@ -50,7 +50,7 @@
 void TestCluster_StartDaemon(TestCluster *cluster, uint32_t index);
 
 /* Waits until a daemon answers a search completely. */
-void TestCluster_WaitServing(TestCluster *cluster, uint32_t index);
+void TestCluster_WaitServing(const TestCluster *cluster, uint32_t index);
 
 /* Stops every process and removes the directory. Fails the test when a daemon
  * does not end with status 0. */
--- a/tests/test-drain.c
+++ b/tests/test-drain.c
@@ -139,12 +139,36 @@
     return 0;
 }
 
+/* Guards against refusing requests of callers that got their list from a
+ * daemon which had not heard of the shutdown yet. */
+static void
+test_leaving_outlasts_spread(void **state)
+{
+    HrDrainEvent event = {.kind = HR_DRAIN_EVENT_START};
+    HrDrainConfig config;
+    HrDrain *drain;
+
+    HrDrainConfig_Default(&config);
+    drain = HrDrain_Create(*state, &config);
+    event.u.spread_ns = 3 * HR_NS_PER_S;
+    HrDrain_Handle(drain, &event);
+    expect(drain, HR_DRAIN_ACTION_LEAVE);
+    assert_int_equal(HrDrain_NextTimer(drain),
+                     config.keep_ns + 3 * HR_NS_PER_S);
+    handle(drain, HR_DRAIN_EVENT_TIMER, config.keep_ns, 0);
+    expect_none(drain);
+    handle(drain, HR_DRAIN_EVENT_TIMER, config.keep_ns + 3 * HR_NS_PER_S, 0);
+    expect(drain, HR_DRAIN_ACTION_REFUSE_NEW);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(test_steps_in_order, create_parent,
                                         free_parent),
+        cmocka_unit_test_setup_teardown(test_leaving_outlasts_spread,
+                                        create_parent, free_parent),
         cmocka_unit_test_setup_teardown(test_limits, create_parent,
                                         free_parent),
         cmocka_unit_test_setup_teardown(test_repeated_start, create_parent,
