Give a slow store more time to deliver the tables

Cause: a read of the tables was given up after 1 s and repeated with the same limit. When every daemon starts while the store takes 2 s for a call, no daemon ever got tables, although the store answered each call.

Ruled out: a longer constant, which would delay the next attempt after a lost call. The limit doubles up to 8 s after each call that was given up, and goes back once a call would have ended within the normal limit.

--- a/src/coord-config-internal.h
+++ b/src/coord-config-internal.h
@@ -28,6 +28,7 @@
     int64_t call_end_ns;
     int64_t next_call_ns;
     int64_t last_answer_ns;
+    uint32_t timeout_ms; /* on top of the wait: doubled while calls fail */
 } HrConfigStore;
 
 /* Exchanges with peers. */
--- a/src/coord-config-store.c
+++ b/src/coord-config-store.c
@@ -7,11 +7,14 @@
 /* A store that answers watches at once must not be called in a tight loop. */
 #define CALL_SPACING_NS (100 * HR_NS_PER_MS)
 #define READERS_MAX 8
+/* How far the time for a call is raised while the store is slow. */
+#define TIMEOUT_FACTOR_MAX 8
 
 /* Prepares the first call. */
 void
 HrConfigStore_Start(HrConfig *config)
 {
+    config->store.timeout_ms = config->settings.call_timeout_ms;
     config->store.next_call_ns = config->now_ns;
     config->store.last_answer_ns = config->now_ns;
     /* Until the members are known, the daemon reads for itself. */
@@ -79,7 +82,7 @@
     read->watch = store->has_cursor;
     read->watch_revision = store->cursor;
     read->wait_ms = store->has_cursor ? config->settings.watch_wait_ms : 0;
-    read->timeout_ms = read->wait_ms + config->settings.call_timeout_ms;
+    read->timeout_ms = read->wait_ms + store->timeout_ms;
     store->call_open = true;
     store->held_at_call = HrConfig_HeldRevision(config);
     store->call_start_ns = config->now_ns;
@@ -89,6 +92,32 @@
                    1);
 }
 
+/* Gives the next call more time after one that was given up: a store that is
+ * slower than the timeout would otherwise never deliver the tables. */
+static void
+raise_timeout(HrConfig *config)
+{
+    uint32_t most_ms = config->settings.call_timeout_ms * TIMEOUT_FACTOR_MAX;
+
+    config->store.timeout_ms *= 2;
+    if (config->store.timeout_ms > most_ms) {
+        config->store.timeout_ms = most_ms;
+    }
+}
+
+/* Returns to the normal timeout once a call would have ended within it. */
+static void
+lower_timeout(HrConfig *config, bool waited)
+{
+    HrConfigStore *store = &config->store;
+    int64_t limit_ms = (waited ? config->settings.watch_wait_ms : 0) +
+                       config->settings.call_timeout_ms;
+
+    if (config->now_ns - store->call_start_ns < limit_ms * HR_NS_PER_MS) {
+        store->timeout_ms = config->settings.call_timeout_ms;
+    }
+}
+
 /* Ends the open call without an answer. The next one is a plain read: after
  * an outage the key may have been restored under the same revision. */
 static void
@@ -99,6 +128,9 @@
 
     store->call_open = false;
     store->has_cursor = false;
+    if (config->now_ns >= store->call_end_ns) {
+        raise_timeout(config);
+    }
     store->next_call_ns =
         config->now_ns + (int64_t)(factor * (double)config->settings.retry_ns);
     HrCounters_Add(config->settings.counters, HR_COUNTER_config_store_failures,
@@ -111,6 +143,7 @@
 {
     HrConfigStore *store = &config->store;
 
+    lower_timeout(config, store->has_cursor);
     store->call_open = false;
     store->has_cursor = true;
     store->cursor = revision;
