Edit only once another daemon has named the revision in force

Cause: HrConfig_CheckEditable() was not called before an edit, and it let a daemon edit whose first member view names nobody but itself. A daemon that had just started accepted the first tables into a store that had come back empty, although the others held revision 1: two different tables with one revision.

Ruled out: the known revision alone, which is 0 until a peer has answered. A daemon whose settings name others now takes itself for the only one after 10 s without any. An edit waits up to 5 s for the first answer and is then refused as not made, so that edits right after a start still work.

The process tests end processes that a failed test leaves.

--- a/src/coord-config-internal.h
+++ b/src/coord-config-internal.h
@@ -51,6 +51,7 @@
     HrTables *tables;
     uint64_t known_revision;
     int64_t confirmed_ns; /* INT64_MIN: never */
+    int64_t started_ns;
     HrConfigStore store;
     HrConfigPeers peers;
     HrConfigAlarm alarm;
--- a/src/coord-config.c
+++ b/src/coord-config.c
@@ -37,6 +37,7 @@
     settings->call_timeout_ms = 1000;
     settings->retry_ns = HR_NS_PER_S;
     settings->peer_silence_ns = 3 * HR_NS_PER_S;
+    settings->alone_after_ns = 10 * HR_NS_PER_S;
 }
 
 /* Creates the module without tables, or returns NULL when memory runs out. */
@@ -217,6 +218,7 @@
     config->now_ns = event->now_ns;
     switch (event->type) {
     case HR_CONFIG_EVENT_START:
+        config->started_ns = config->now_ns;
         HrConfigStore_Start(config);
         HrConfigPeers_Start(config);
         break;
@@ -282,14 +284,25 @@
     return config->known_revision;
 }
 
+/* Returns true if the daemon may take itself for the only one. The first view
+ * names only this daemon, before it has heard from the others. */
+static bool
+is_alone(const HrConfig *config)
+{
+    const HrConfigSettings *settings = &config->settings;
+
+    return config->peers.has_members && config->peers.count == 0 &&
+           (!settings->expects_peers ||
+            config->now_ns - config->started_ns >= settings->alone_after_ns);
+}
+
 /* Returns 0 if an edit may be started on this daemon, or HR_ERR_UNAVAILABLE
  * before the first peer has answered: without knowing the revision in force,
  * the daemon could edit a store that has lost its newest tables. */
 int
 HrConfig_CheckEditable(const HrConfig *config, HrError *err)
 {
-    if (config->peers.has_members &&
-        (config->peers.count == 0 || config->peers.has_answer)) {
+    if (config->peers.has_answer || is_alone(config)) {
         return HR_OK;
     }
     return HrError_Set(err, HR_ERR_UNAVAILABLE,
--- a/src/coord-config.h
+++ b/src/coord-config.h
@@ -25,6 +25,10 @@
     int64_t retry_ns;         /* after a failed store call; default 1 s */
     int64_t peer_silence_ns;  /* no answer from any peer for this long makes
                                  the daemon read the store; default 3 s */
+    bool expects_peers;       /* the daemon's settings name others */
+    int64_t alone_after_ns;   /* a daemon that expects peers and has found
+                                 none takes itself for the only one after
+                                 this long; default 10 s */
     HrCounters *counters;     /* may be NULL */
 } HrConfigSettings;
 
--- a/src/daemon-control-config.c
+++ b/src/daemon-control-config.c
@@ -131,6 +131,21 @@
     handle_event(arg, &event);
 }
 
+/* Returns true if the settings name other daemons. */
+static bool
+names_others(const HrDaemon *daemon)
+{
+    uint32_t i;
+
+    for (i = 0; i < daemon->settings->peer_seed_count; i++) {
+        if (strcmp(daemon->settings->peer_seeds[i], daemon->peer_address) !=
+            0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Creates the part. */
 HrControlConfig *
 HrControlConfig_Create(HrControl *control)
@@ -147,6 +162,7 @@
     control->config = config;
     HrConfigSettings_Default(&settings, daemon->daemon_id);
     settings.counters = daemon->counters;
+    settings.expects_peers = names_others(daemon);
     config->config = HrConfig_Create(
         config, &settings, HrRng_FromSeed(HrRng_Next(&control->task->rng)));
     config->timer = HrLoop_AddTimer(control->task->loop, fire_timer, config);
@@ -204,6 +220,13 @@
     return HrConfig_KnownRevision(config->config);
 }
 
+/* Returns 0 if an edit may be started on this daemon. */
+int
+HrControlConfig_CheckEditable(const HrControlConfig *config, HrError *err)
+{
+    return HrConfig_CheckEditable(config->config, err);
+}
+
 /* Returns the tables held; NULL before the first ones. */
 const HrTables *
 HrControlConfig_Tables(const HrControlConfig *config)
--- a/src/daemon-control-edit.c
+++ b/src/daemon-control-edit.c
@@ -7,6 +7,10 @@
 
 /* Edits at once; further ones are refused. */
 #define EDITS_MAX 32
+/* How long an edit waits until the daemon has heard from another one, which a
+ * daemon that has just started does within a second or two. */
+#define PEER_WAIT_NS (5 * HR_NS_PER_S)
+#define PEER_POLL_NS (50 * HR_NS_PER_MS)
 
 /* One edit that is under way. */
 typedef struct Edit {
@@ -16,6 +20,8 @@
     HrListenerId listener;
     uint64_t number;
     bool done;
+    HrTablesEdit *waiting; /* not started yet; NULL: it was */
+    int64_t wait_end_ns;
 } Edit;
 
 struct HrControlEdits {
@@ -24,6 +30,7 @@
 };
 
 static void handle_event(Edit *edit, HrEditEvent *event);
+static void begin_edit(Edit *edit);
 
 /* Returns the HTTP status of an outcome. */
 static int
@@ -171,9 +178,13 @@
 
     if (edit->done) {
         free_edit(edit);
-        return;
     }
-    handle_event(edit, &event);
+    else if (edit->waiting != NULL) {
+        begin_edit(edit);
+    }
+    else {
+        handle_event(edit, &event);
+    }
 }
 
 /* Creates the part. */
@@ -189,13 +200,12 @@
     return edits;
 }
 
-/* Answers a malformed edit. */
+/* Answers an edit that was not started. */
 static void
-reject(HrControlEdits *edits, const HrMessage *request, int status,
-       const HrError *err)
+reject(HrControlEdits *edits, HrListenerId listener, uint64_t number,
+       int status, const HrError *err)
 {
-    HrControl_AnswerJson(edits->control, request->u.request.listener,
-                         request->u.request.number, status,
+    HrControl_AnswerJson(edits->control, listener, number, status,
                          json_pack("{s:s,s:I,s:s,s:s}", "result", "refused",
                                    "revision", (json_int_t)0, "error",
                                    err->message, "kind",
@@ -233,11 +243,37 @@
     return edit;
 }
 
+/* Starts an edit that waits, once this daemon knows from another one which
+ * revision is in force; refuses it when its time to wait is over. */
+static void
+begin_edit(Edit *edit)
+{
+    HrControlConfig *config = edit->owner->control->config;
+    HrLoop *loop = edit->owner->control->task->loop;
+    HrEditEvent event = {.type = HR_EDIT_EVENT_START};
+    int64_t now_ns = HrLoop_NowNs(loop);
+    HrError err;
+
+    if (HrControlConfig_CheckEditable(config, &err) == HR_OK) {
+        event.u.start.edit = edit->waiting;
+        event.u.start.known_revision = HrControlConfig_KnownRevision(config);
+        handle_event(edit, &event);
+        TALLOC_FREE(edit->waiting);
+    }
+    else if (now_ns < edit->wait_end_ns) {
+        HrLoop_SetTimer(loop, edit->timer, now_ns + PEER_POLL_NS);
+    }
+    else {
+        reject(edit->owner, edit->listener, edit->number, 503, &err);
+        edit->done = true;
+        HrLoop_SetTimer(loop, edit->timer, now_ns);
+    }
+}
+
 /* Starts an edit of the tables. */
 static void
 start_edit(HrControlEdits *edits, const HrMessage *request)
 {
-    HrEditEvent event = {.type = HR_EDIT_EVENT_START};
     HrError err = {HR_ERR_OVERLOADED, "too many edits at once: repeat later"};
     HrTablesEdit *parsed = HrTablesEdit_FromJson(
         edits, (const char *)request->u.request.body.data,
@@ -245,20 +281,21 @@
     Edit *edit;
 
     if (parsed == NULL) {
-        reject(edits, request, 400, &err);
+        reject(edits, request->u.request.listener, request->u.request.number,
+               400, &err);
         return;
     }
     edit = create_edit(edits, request);
     if (edit == NULL) {
-        reject(edits, request, 503, &err);
-    }
-    else {
-        event.u.start.edit = parsed;
-        event.u.start.known_revision =
-            HrControlConfig_KnownRevision(edits->control->config);
-        handle_event(edit, &event);
+        reject(edits, request->u.request.listener, request->u.request.number,
+               503, &err);
+        talloc_free(parsed);
+        return;
     }
-    talloc_free(parsed);
+    edit->waiting = talloc_steal(edit, parsed);
+    edit->wait_end_ns =
+        HrLoop_NowNs(edits->control->task->loop) + PEER_WAIT_NS;
+    begin_edit(edit);
 }
 
 /* Starts to write the tables held by this daemon back to the store. */
@@ -292,7 +329,8 @@
         handle_event(edit, &event);
     }
     else {
-        reject(edits, request, 400, &err);
+        reject(edits, request->u.request.listener, request->u.request.number,
+               400, &err);
     }
     json_decref(body);
 }
--- a/src/daemon-control-state.h
+++ b/src/daemon-control-state.h
@@ -77,6 +77,7 @@
 void HrControlConfig_TakeTables(HrControlConfig *config,
                                 const HrTables *tables);
 uint64_t HrControlConfig_KnownRevision(const HrControlConfig *config);
+int HrControlConfig_CheckEditable(const HrControlConfig *config, HrError *err);
 const HrTables *HrControlConfig_Tables(const HrControlConfig *config);
 json_t *HrControlConfig_Describe(const HrControlConfig *config);
 
--- a/tests/common-process.c
+++ b/tests/common-process.c
@@ -26,6 +26,7 @@
 #define SERVING_LIMIT_MS 60000
 #define EXIT_LIMIT_MS 60000
 #define POLL_MS 20
+#define RUNNING_MAX 64
 #define REQUEST_TIMEOUT_MS 30000
 #define ANSWER_MAX_BYTES (1u << 22)
 #define KEY "000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"
@@ -48,6 +49,40 @@
     usleep((useconds_t)(duration_ms * 1000));
 }
 
+/* The processes that have not been waited for. */
+static pid_t running[RUNNING_MAX];
+
+/* Ends the processes that a failed test has left. */
+static void
+end_running(void)
+{
+    uint32_t i;
+
+    for (i = 0; i < RUNNING_MAX; i++) {
+        if (running[i] != 0) {
+            kill(running[i], SIGKILL);
+        }
+    }
+}
+
+/* Replaces an entry of the list of running processes. */
+static void
+replace_running(pid_t from, pid_t to)
+{
+    static bool registered;
+    uint32_t i = 0;
+
+    if (!registered) {
+        registered = atexit(end_running) == 0;
+    }
+    while (i < RUNNING_MAX && running[i] != from) {
+        i++;
+    }
+    if (i < RUNNING_MAX) {
+        running[i] = to;
+    }
+}
+
 /* Starts a program of $BIN. */
 pid_t
 TestProcess_Start(const char *directory, const char *log_name,
@@ -68,6 +103,7 @@
     assert_int_equal(
         posix_spawn(&pid, program, &actions, NULL, arguments, environ), 0);
     posix_spawn_file_actions_destroy(&actions);
+    replace_running(0, pid);
     return pid;
 }
 
@@ -82,10 +118,12 @@
         if (TestClock_WallMs() > end_ms) {
             kill(pid, SIGKILL);
             waitpid(pid, &status, 0);
+            replace_running(pid, 0);
             fail_msg("process %d did not end", (int)pid);
         }
         TestClock_SleepMs(POLL_MS);
     }
+    replace_running(pid, 0);
     return status;
 }
 
@@ -349,14 +387,14 @@
     return servers;
 }
 
-/* Makes the first edit of the tables. */
-static void
-make_tables(TestCluster *cluster)
+/* Returns the edit that makes the first tables, for free(). */
+char *
+TestCluster_FirstEdit(const TestCluster *cluster, const char *edit_id)
 {
     json_t *edit = json_pack(
         "{s:s,s:s,s:i,s:s,s:[o,o,o],s:[{s:s,s:i,s:i,s:i,s:s,s:f,s:i,s:i,s:i,"
         "s:o}]}",
-        "edit_id", "edit-1", "operator", "test", "based_on", 0, "summary",
+        "edit_id", edit_id, "operator", "test", "based_on", 0, "summary",
         "first tables", "set_routes", make_route("search", "all", true),
         make_route("book", "single", false), make_route("one", "single", true),
         "set_pools", "name", "pool", "slots", 5, "connections", 40,
@@ -364,13 +402,32 @@
         "hedge_delay_ms", 5, "extra_load_percent", 5, "queue_limit", 1000,
         "servers", make_servers(cluster));
     char *text = json_dumps(edit, JSON_COMPACT);
+
+    assert_non_null(text);
+    json_decref(edit);
+    return text;
+}
+
+/* Makes the first edit of the tables. The daemon refuses it until another one
+ * has told it that there are none yet. */
+static void
+make_tables(TestCluster *cluster)
+{
+    int64_t end_ms = TestClock_WallMs() + SERVING_LIMIT_MS;
+    char *text = TestCluster_FirstEdit(cluster, "edit-1");
     TestAnswer answer = TestHttp_Send(cluster->daemons[0].operator_port,
                                       "/v1/tables", TEST_TOKEN, text);
 
+    while (answer.status == 503 && TestClock_WallMs() < end_ms) {
+        TestAnswer_Release(&answer);
+        TestClock_SleepMs(POLL_MS);
+        answer = TestHttp_Send(cluster->daemons[0].operator_port, "/v1/tables",
+                               TEST_TOKEN, text);
+    }
+
     assert_string_equal(TestAnswer_Text(&answer, "result"), "accepted");
     TestAnswer_Release(&answer);
     free(text);
-    json_decref(edit);
 }
 
 /* Waits until a daemon answers a search completely. */
--- a/tests/common-process.h
+++ b/tests/common-process.h
@@ -52,6 +52,9 @@
 /* Waits until a daemon answers a search completely. */
 void TestCluster_WaitServing(const TestCluster *cluster, uint32_t index);
 
+/* Returns the edit that makes the first tables, for free(). */
+char *TestCluster_FirstEdit(const TestCluster *cluster, const char *edit_id);
+
 /* Stops every process and removes the directory. Fails the test when a daemon
  * does not end with status 0. */
 void TestCluster_Stop(TestCluster *cluster);
@@ -81,7 +84,8 @@
 void TestClock_SleepMs(int64_t duration_ms);
 
 /* Starts a program of $BIN; its output goes to a file in directory. Returns
- * its process id. */
+ * its process id. It is killed at the end of the test program, unless
+ * TestProcess_Wait has seen its end. */
 pid_t TestProcess_Start(const char *directory, const char *log_name,
                         char *const *arguments);
 
--- a/tests/test-config.c
+++ b/tests/test-config.c
@@ -209,6 +209,32 @@
     talloc_free(sim);
 }
 
+/* Guards against a daemon that takes itself for the only one, and edits an
+ * empty store, before the others that its settings name have answered. */
+static void
+test_not_alone_at_once(void **state)
+{
+    HrConfigSettings settings;
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_START};
+    HrMemberView view = {.member_count = 0};
+    HrConfig *config;
+
+    (void)state;
+    HrConfigSettings_Default(&settings, 1);
+    settings.expects_peers = true;
+    config = HrConfig_Create(NULL, &settings, HrRng_FromSeed(1));
+    HrConfig_Handle(config, &event);
+    event.type = HR_CONFIG_EVENT_MEMBERS;
+    event.u.members = &view;
+    HrConfig_Handle(config, &event);
+    assert_int_equal(HrConfig_CheckEditable(config, NULL), HR_ERR_UNAVAILABLE);
+    event.type = HR_CONFIG_EVENT_TIMER;
+    event.now_ns = settings.alone_after_ns;
+    HrConfig_Handle(config, &event);
+    assert_int_equal(HrConfig_CheckEditable(config, NULL), HR_OK);
+    talloc_free(config);
+}
+
 /* Guards against an older store whose tables are put in force or that goes
  * unnoticed. */
 static void
@@ -609,6 +635,7 @@
         cmocka_unit_test(test_missed_hints_are_made_up_for),
         cmocka_unit_test(test_cut_off_daemon_says_so_and_catches_up),
         cmocka_unit_test(test_new_daemon_takes_tables_from_peers),
+        cmocka_unit_test(test_not_alone_at_once),
         cmocka_unit_test(test_older_store_raises_alarm),
         cmocka_unit_test(test_empty_store_raises_alarm),
         cmocka_unit_test(test_old_and_repeated_deltas_are_ignored),
