--- a/tests/common-callers.c
+++ b/tests/common-callers.c
@@ -44,6 +44,7 @@
     TestCallersConfig config;
     bool stop;
     int64_t started_ms;
+    uint32_t round; /* of this program, so that no request id is used twice */
     Caller *callers;
 };
 
@@ -98,16 +99,16 @@
 static bool
 names_each_shard(const TestAnswer *answer, uint32_t groups)
 {
-    uint32_t per_group =
+    size_t per_group =
         json_integer_value(json_object_get(answer->json, "version")) % 2 == 0
             ? 2
             : 1;
-    uint32_t i;
+    size_t i;
 
     for (i = 0; i < groups * per_group; i++) {
         char name[SHARD_NAME_BYTES];
 
-        snprintf(name, sizeof(name), "pool-%02u%s", i / per_group,
+        snprintf(name, sizeof(name), "pool-%02zu%s", i / per_group,
                  per_group == 1 ? "" : (i % 2 == 0 ? "a" : "b"));
         if (count_shard(answer, "parts", name) +
                 count_shard(answer, "missing", name) !=
@@ -368,8 +369,8 @@
     TestAnswer answer;
     bool open;
 
-    snprintf(booking->id, sizeof(booking->id), "b-%u-%u", caller->number,
-             caller->sent);
+    snprintf(booking->id, sizeof(booking->id), "b-%u-%u-%u", owner->round,
+             caller->number, caller->sent);
     booking->next = caller->bookings;
     caller->bookings = booking;
     answer = TestCluster_Book(owner->cluster, caller->index, booking->id,
@@ -440,11 +441,13 @@
 TestCallers *
 TestCallers_Start(const TestCluster *cluster, const TestCallersConfig *config)
 {
+    static uint32_t rounds;
     TestCallers *callers = calloc(1, sizeof(*callers));
     uint32_t i;
 
     callers->cluster = cluster;
     callers->config = *config;
+    callers->round = ++rounds;
     callers->started_ms = TestClock_WallMs();
     callers->callers = calloc(config->count, sizeof(*callers->callers));
     for (i = 0; i < config->count; i++) {
