Let callers state that a request id is sent for the first time

Without the store nothing proves that no earlier copy of an id ran, so a refusal could never say not_run.

--- a/src/ctl-query.c
+++ b/src/ctl-query.c
@@ -58,7 +58,9 @@
                            .key = options->key,
                            .caller = "hickoryctl",
                            .deadline_ms = options->deadline_ms,
-                           .expires_ms = choose_expiry_ms(options)};
+                           .expires_ms = choose_expiry_ms(options),
+                           /* An id made here has not been sent before. */
+                           .attempt = options->request_id == NULL};
     json_t *value = json_loads(payload, JSON_DECODE_ANY, NULL);
 
     if (value == NULL) {
--- a/src/daemon-control-claim.c
+++ b/src/daemon-control-claim.c
@@ -416,6 +416,7 @@
     event.u.start.token = start->token;
     event.u.start.request_id = request_id;
     event.u.start.expires_ms = message->u.claim_start.expires_ms;
+    event.u.start.first_copy = message->u.claim_start.first_copy;
     event.u.start.deadline_ns = message->u.claim_start.deadline_ns;
     handle_holder(claims, &event);
 }
--- a/src/daemon-message.h
+++ b/src/daemon-message.h
@@ -126,6 +126,7 @@
             uint32_t query_task;
             const char *request_id;
             int64_t expires_ms;
+            bool first_copy; /* the caller states that it is */
             int64_t deadline_ns;
         } claim_start;
         struct {
--- a/src/daemon-query-claim.c
+++ b/src/daemon-query-claim.c
@@ -17,6 +17,7 @@
         message->u.claim_start.request_id =
             HrMessage_CopyText(message, query->caller->request_id);
         message->u.claim_start.expires_ms = query->caller->expires_ms;
+        message->u.claim_start.first_copy = query->caller->attempt == 1;
         message->u.claim_start.deadline_ns = query->deadline_ns;
     }
     HrTask_Post(task, task->daemon->control, message);
--- a/src/proto-caller.c
+++ b/src/proto-caller.c
@@ -84,6 +84,8 @@
         &fields, "deadline_ms", false, 1, HR_CALLER_MAX_DEADLINE_MS, 0);
     query->expires_ms =
         HrFields_Integer(&fields, "expires_ms", false, 1, MAX_EXPIRES_MS, 0);
+    query->attempt = (uint32_t)HrFields_Integer(&fields, "attempt", false, 1,
+                                                HR_CALLER_MAX_ATTEMPT, 0);
     query->want = read_want(&fields);
     query->payload =
         copy_payload(&fields, query, HrFields_Any(&fields, "payload"));
@@ -138,6 +140,9 @@
         json_object_set_new(object, "expires_ms",
                             json_integer(query->expires_ms));
     }
+    if (query->attempt != 0) {
+        json_object_set_new(object, "attempt", json_integer(query->attempt));
+    }
     HrJsonText_AppendOpenObject(&text, object);
     HrJsonText_AppendRaw(&text, ",\"payload\":");
     HrJsonText_Append(&text, query->payload.data, query->payload.length_bytes);
--- a/src/proto-caller.h
+++ b/src/proto-caller.h
@@ -10,6 +10,7 @@
 #define HR_CALLER_NAME_MAX_BYTES 128
 #define HR_CALLER_KEY_MAX_BYTES 256
 #define HR_CALLER_MAX_DEADLINE_MS 600000
+#define HR_CALLER_MAX_ATTEMPT 1000000
 
 /* One query of a caller. */
 typedef struct HrCallerQuery {
@@ -21,6 +22,8 @@
     uint32_t deadline_ms; /* 0: the default of the route */
     HrWant want;
     int64_t expires_ms; /* wall clock, since 1970; 0: none */
+    uint32_t attempt;   /* 1: this request id has not been sent before; more:
+                           it has; 0: not stated */
 } HrCallerQuery;
 
 /* One answer to a caller. Times in the gather's answer count from its start
--- a/tests/test-proto-caller.c
+++ b/tests/test-proto-caller.c
@@ -20,7 +20,8 @@
 #define GOOD_QUERY                                                            \
     "{\"request_id\":\"r1\",\"kind\":\"fleet.sweep\",\"key\":\"depot 7\","    \
     "\"payload\":{\"a\":[1,2.5,\"x\"],\"b\":null},\"deadline_ms\":250,"       \
-    "\"want\":\"complete\",\"caller\":\"desk\",\"expires_ms\":1796000000000}"
+    "\"want\":\"complete\",\"caller\":\"desk\",\"attempt\":1,"                \
+    "\"expires_ms\":1796000000000}"
 
 /* Returns the number of damaged texts to try. */
 static uint32_t
@@ -81,6 +82,7 @@
     assert_int_equal(query->deadline_ms, 250);
     assert_int_equal(query->want, HR_WANT_COMPLETE);
     assert_int_equal(query->expires_ms, INT64_C(1796000000000));
+    assert_int_equal(query->attempt, 1);
     assert_string_equal((const char *)query->payload.data,
                         "{\"a\":[1,2.5,\"x\"],\"b\":null}");
     text = HrCallerQuery_Encode(query, query);
@@ -104,6 +106,7 @@
     assert_null(query->caller);
     assert_int_equal(query->deadline_ms, 0);
     assert_int_equal(query->expires_ms, 0);
+    assert_int_equal(query->attempt, 0);
     assert_int_equal(query->want, HR_WANT_PARTIAL);
     assert_string_equal((const char *)query->payload.data, "0");
     talloc_free(query);
@@ -130,6 +133,7 @@
                    "whole number");
     expect_refusal(QUERY(",\"deadline_ms\":\"9\"}"), HR_ERR_INVALID,
                    "whole number");
+    expect_refusal(QUERY(",\"attempt\":0}"), HR_ERR_RANGE, "attempt");
     expect_refusal(QUERY(",\"expires_ms\":4102444800001}"), HR_ERR_RANGE,
                    "expires_ms");
     expect_refusal(QUERY(",\"want\":\"all\"}"), HR_ERR_RANGE,
--- a/tools/load.c
+++ b/tools/load.c
@@ -211,14 +211,13 @@
     pthread_mutex_unlock(&load->mutex);
 }
 
-/* Builds the body of a query; released with free(). */
-static char *
+/* Builds a query. */
+static json_t *
 build_query(Worker *worker, uint64_t number)
 {
     Load *load = worker->load;
     char id[64], key[32];
     json_t *json;
-    char *text;
 
     snprintf(id, sizeof(id), "load-%016" PRIx64 "-%" PRIu64, load->run_id,
              number);
@@ -235,9 +234,7 @@
             json, "expires_ms",
             json_integer(HrClock_WallMs(&load->clock) + 60 * INT64_C(1000)));
     }
-    text = json_dumps(json, JSON_COMPACT);
-    json_decref(json);
-    return text;
+    return json;
 }
 
 /* Counts one answer. */
@@ -274,8 +271,8 @@
 {
     Load *load = worker->load;
     char address[HR_ADDRESS_BYTES], url[128];
-    char *body = build_query(worker, number);
-    json_t *json = NULL;
+    json_t *query = build_query(worker, number), *json = NULL;
+    char *body;
     int try;
 
     for (try = 0; try < MAX_TRIES && json == NULL; try++) {
@@ -285,10 +282,13 @@
         }
         choose_address(worker, address);
         snprintf(url, sizeof(url), "http://%s/v1/query", address);
+        json_object_set_new(query, "attempt", json_integer(try + 1));
+        body = json_dumps(query, JSON_COMPACT);
         json = exchange_json(worker->curl, url, body,
                              load->deadline_ms + EXTRA_TIMEOUT_MS);
+        free(body);
     }
-    free(body);
+    json_decref(query);
     if (json == NULL) {
         worker->failed++;
         return;
