--- a/tests/test-sched-faults.c
+++ b/tests/test-sched-faults.c
@@ -8,9 +8,10 @@
 #include "common-sched-sim.h"
 
 #define SEED UINT64_C(770001)
-#define SCHEDULES 500
+#define SCHEDULES 400
 #define SOAK_FACTOR 20
 #define RUN_NS (1 * HR_NS_PER_S)
+#define LEAST_GAP_NS (500 * HR_NS_PER_US) /* bounds the run time */
 #define SETTLE_NS (3 * HR_NS_PER_S)
 #define MAX_SERVERS 6
 
@@ -68,6 +69,10 @@
     double load = pick(10, 250) / 100.0;
     int64_t mean_ns = (int64_t)(1 / (capacity * load)), time_ns = sim->now_ns;
 
+    if (mean_ns < LEAST_GAP_NS) {
+        mean_ns = LEAST_GAP_NS;
+    }
+
     for (;;) {
         HrSubRequest request = {.version = pick(1, 20) == 1 ? 2 : 1};
         static const char *const callers[] = {"a", "b", "c", NULL};
