--- a/src/coord-config-internal.h
+++ b/src/coord-config-internal.h
@@ -28,6 +28,7 @@
     int64_t call_end_ns;
     int64_t next_call_ns;
     int64_t last_answer_ns;
+    uint32_t timeout_ms; /* on top of the wait: doubled while calls fail */
 } HrConfigStore;
 
 /* Exchanges with peers. */
@@ -50,6 +51,7 @@
     HrTables *tables;
     uint64_t known_revision;
     int64_t confirmed_ns; /* INT64_MIN: never */
+    int64_t started_ns;
     HrConfigStore store;
     HrConfigPeers peers;
     HrConfigAlarm alarm;
--- a/src/daemon-control-state.h
+++ b/src/daemon-control-state.h
@@ -67,6 +67,7 @@
                              HrBytes bytes);
 void HrControlMember_Leave(HrControlMember *member);
 void HrControlMember_SetSpare(HrControlMember *member, uint32_t percent);
+int64_t HrControlMember_SpreadNs(const HrControlMember *member);
 
 /* daemon-control-config.c */
 HrControlConfig *HrControlConfig_Create(HrControl *control);
@@ -76,6 +77,7 @@
 void HrControlConfig_TakeTables(HrControlConfig *config,
                                 const HrTables *tables);
 uint64_t HrControlConfig_KnownRevision(const HrControlConfig *config);
+int HrControlConfig_CheckEditable(const HrControlConfig *config, HrError *err);
 const HrTables *HrControlConfig_Tables(const HrControlConfig *config);
 json_t *HrControlConfig_Describe(const HrControlConfig *config);
 
