--- a/src/trans-http-client.c
+++ b/src/trans-http-client.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Handles kept for later calls of one client. */
+#define SPARE_HANDLES_MAX 64
+
 struct HrHttpCall {
     TAILQ_ENTRY(HrHttpCall) entry;
     HrHttpClient *client;
@@ -28,6 +31,8 @@
     CURLM *multi;
     HrHttpClientConfig config;
     struct CallList calls;
+    CURL *spare[SPARE_HANDLES_MAX]; /* reset handles */
+    uint32_t spare_count;
 };
 
 static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
@@ -39,13 +44,35 @@
     curl_global_init(CURL_GLOBAL_NOTHING);
 }
 
+/* Returns a handle with default options and without results of an earlier
+ * transfer, or NULL. */
+static CURL *
+take_handle(HrHttpClient *client)
+{
+    return client->spare_count > 0 ? client->spare[--client->spare_count]
+                                   : curl_easy_init();
+}
+
+/* Keeps a handle for a later call or frees it. The reset also clears the
+ * results, which HrHttpCall_MaybeSent may ask for before a transfer starts. */
+static void
+release_handle(HrHttpClient *client, CURL *easy)
+{
+    if (client->spare_count == SPARE_HANDLES_MAX) {
+        curl_easy_cleanup(easy);
+        return;
+    }
+    curl_easy_reset(easy);
+    client->spare[client->spare_count++] = easy;
+}
+
 /* Unlinks a call and releases everything it holds. */
 static void
 free_call(HrHttpCall *call)
 {
     TAILQ_REMOVE(&call->client->calls, call, entry);
     curl_multi_remove_handle(call->client->multi, call->easy);
-    curl_easy_cleanup(call->easy);
+    release_handle(call->client, call->easy);
     curl_slist_free_all(call->headers);
     talloc_free(call);
 }
@@ -203,6 +230,9 @@
     while ((call = TAILQ_FIRST(&client->calls)) != NULL) {
         free_call(call);
     }
+    while (client->spare_count > 0) {
+        curl_easy_cleanup(client->spare[--client->spare_count]);
+    }
     curl_multi_cleanup(client->multi);
     HrLoop_RemoveTimer(client->loop, client->timer);
     return 0;
@@ -381,7 +411,7 @@
     call->client = client;
     call->fn = fn;
     call->arg = arg;
-    call->easy = curl_easy_init();
+    call->easy = take_handle(client);
     if (call->easy == NULL || build_headers(call, request) != HR_OK) {
         curl_easy_cleanup(call->easy);
         talloc_free(call);
