Write the frames of one loop round to a peer link at once

A queued frame asked for writability and was written in the next round, which cost one more wait for each frame; frames that one round produces for a link now leave in one sendmsg at its end.

--- a/src/trans-peer-link.c
+++ b/src/trans-peer-link.c
@@ -49,8 +49,10 @@
     link->state = HR_PEER_LINK_CLOSED;
     HrLoop_RemoveFd(link->owner->loop, link->watch);
     HrLoop_RemoveTimer(link->owner->loop, link->timer);
+    HrLoop_RemoveTimer(link->owner->loop, link->flush_timer);
     link->watch = NULL;
     link->timer = NULL;
+    link->flush_timer = NULL;
     close(link->fd);
     HrCounters_Add(link->owner->config->counters, HR_COUNTER_peer_links_closed,
                    1);
@@ -66,14 +68,11 @@
     talloc_free(link);
 }
 
-/* Watches for writability only while something can be written. */
+/* Watches for writability only while the socket takes no more bytes. */
 static void
 update_events(HrPeerLink *link)
 {
-    bool write =
-        link->state == HR_PEER_LINK_CONNECTING ||
-        !STAILQ_EMPTY(&link->handshake) ||
-        (link->state == HR_PEER_LINK_READY && !STAILQ_EMPTY(&link->queue));
+    bool write = link->state == HR_PEER_LINK_CONNECTING || link->blocked;
 
     if (link->state != HR_PEER_LINK_CLOSED) {
         HrLoop_SetEvents(link->owner->loop, link->watch,
@@ -81,6 +80,22 @@
     }
 }
 
+/* Has the queues written once in this round of the loop, with all frames that
+ * the round adds, unless a later event of the socket writes them. */
+static void
+schedule_flush(HrPeerLink *link)
+{
+    HrLoop *loop = link->owner->loop;
+
+    if (link->flush_armed || link->blocked ||
+        link->state == HR_PEER_LINK_CONNECTING ||
+        link->state == HR_PEER_LINK_CLOSED) {
+        return;
+    }
+    link->flush_armed = true;
+    HrLoop_SetTimer(loop, link->flush_timer, HrLoop_NowNs(loop));
+}
+
 /* Appends encoded bytes to a queue, which takes them over. */
 static int
 append_queue(HrPeerLink *link, struct HrPeerQueue *queue, HrBytes bytes,
@@ -96,7 +111,7 @@
     talloc_steal(queued, bytes.data);
     STAILQ_INSERT_TAIL(queue, queued, entry);
     link->queued_bytes += bytes.length_bytes;
-    update_events(link);
+    schedule_flush(link);
     return HR_OK;
 }
 
@@ -189,6 +204,7 @@
     struct HrPeerQueue *queue;
     struct iovec vector[IOVEC_MAX];
 
+    link->blocked = false;
     while ((queue = choose_queue(link)) != NULL && !STAILQ_EMPTY(queue)) {
         struct msghdr message = {.msg_iov = vector};
         ssize_t written;
@@ -199,12 +215,34 @@
             if (errno != EAGAIN && errno != EINTR) {
                 HrPeerLink_Close(link, HR_ERR_CLOSED);
             }
+            link->blocked = true;
             return;
         }
         consume_written(link, queue, (size_t)written);
     }
 }
 
+/* Writes the frames that were added in this round of the loop. */
+static void
+flush_queues(void *arg)
+{
+    HrPeerLink *link = arg;
+
+    link->flush_armed = false;
+    write_queues(link);
+    update_events(link);
+}
+
+/* Cancels a flush after the queues were written. */
+static void
+cancel_flush(HrPeerLink *link)
+{
+    if (link->flush_armed) {
+        link->flush_armed = false;
+        HrLoop_SetTimer(link->owner->loop, link->flush_timer, HR_TIME_NEVER);
+    }
+}
+
 /* Answers pings, and hands other frames to the owner. */
 static void
 dispatch_frame(HrPeerLink *link, HrPeerFrame *frame)
@@ -369,6 +407,7 @@
     }
     if (link->state != HR_PEER_LINK_CLOSED &&
         link->state != HR_PEER_LINK_CONNECTING) {
+        cancel_flush(link);
         write_queues(link);
     }
     update_events(link);
@@ -447,9 +486,12 @@
         HrLoop_AddFd(owner->loop, fd, outbound ? HR_LOOP_WRITE : HR_LOOP_READ,
                      handle_socket, link);
     link->timer = HrLoop_AddTimer(owner->loop, handle_timer, link);
-    if (link->watch == NULL || link->timer == NULL) {
+    link->flush_timer = HrLoop_AddTimer(owner->loop, flush_queues, link);
+    if (link->watch == NULL || link->timer == NULL ||
+        link->flush_timer == NULL) {
         HrLoop_RemoveFd(owner->loop, link->watch);
         HrLoop_RemoveTimer(owner->loop, link->timer);
+        HrLoop_RemoveTimer(owner->loop, link->flush_timer);
         close(fd);
         talloc_free(link);
         return NULL;
--- a/src/trans-peer-link.h
+++ b/src/trans-peer-link.h
@@ -55,6 +55,9 @@
     int fd;
     HrLoopFd *watch;
     HrLoopTimer *timer;
+    HrLoopTimer *flush_timer;
+    bool flush_armed; /* the queues are written in this round of the loop */
+    bool blocked;     /* the socket took no more bytes */
     int64_t opened_ns;
     int64_t used_ns;     /* last frame of the layer above, either way */
     int64_t received_ns; /* last byte received */
--- a/src/trans-peer.c
+++ b/src/trans-peer.c
@@ -186,6 +186,7 @@
         HASH_DELETE(by_number, node->links, link);
         HrLoop_RemoveFd(node->loop, link->watch);
         HrLoop_RemoveTimer(node->loop, link->timer);
+        HrLoop_RemoveTimer(node->loop, link->flush_timer);
         close(link->fd);
     }
     HrLoop_RemoveFd(node->loop, node->listen_watch);
