--- a/src/proto-backend.c
+++ b/src/proto-backend.c
@@ -258,29 +258,42 @@
     return HR_OK;
 }
 
+/* Writes a value as compact JSON text; a text that is longer than the guess is
+ * written twice. */
+static int
+dump_value(const void *parent, const json_t *value, size_t guess_bytes,
+           HrBytes *out)
+{
+    char *text = NULL;
+    size_t length = guess_bytes, capacity;
+
+    do {
+        capacity = length;
+        text = talloc_realloc_size(parent, text, capacity + 1);
+        if (text == NULL) {
+            return HR_ERR_NO_MEMORY;
+        }
+        length =
+            json_dumpb(value, text, capacity, JSON_COMPACT | JSON_ENCODE_ANY);
+    } while (length > capacity);
+    text[length] = '\0';
+    out->data = (const uint8_t *)text;
+    out->length_bytes = length;
+    return HR_OK;
+}
+
 /* Reads the payload as JSON text. */
 static int
-read_payload(const void *parent, const json_t *object, HrBytes *payload,
-             HrError *err)
+read_payload(const void *parent, const json_t *object, size_t guess_bytes,
+             HrBytes *payload, HrError *err)
 {
     const json_t *member = json_object_get(object, "payload");
-    size_t length;
-    char *text;
 
     if (member == NULL) {
         return HrError_Set(err, HR_ERR_PROTOCOL,
                            "a server's answer has no payload");
     }
-    length = json_dumpb(member, NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY);
-    text = talloc_size(parent, length + 1);
-    if (text == NULL) {
-        return HR_ERR_NO_MEMORY;
-    }
-    json_dumpb(member, text, length, JSON_COMPACT | JSON_ENCODE_ANY);
-    text[length] = '\0';
-    payload->data = (const uint8_t *)text;
-    payload->length_bytes = length;
-    return HR_OK;
+    return dump_value(parent, member, guess_bytes, payload);
 }
 
 /* Copies a text into the parent. */
@@ -336,7 +349,7 @@
 /* Reads a whole answer and copies what it keeps. */
 static int
 read_answer(const void *parent, const json_t *object, int http_status,
-            HrBackendAnswer *out, HrError *err)
+            size_t body_bytes, HrBackendAnswer *out, HrError *err)
 {
     HrSchedBackendAnswer *answer = &out->answer;
     int rc = read_identity(object, out, err);
@@ -348,7 +361,7 @@
         rc = read_server_state(object, answer, err);
     }
     if (rc == HR_OK) {
-        rc = read_payload(parent, object, &answer->payload, err);
+        rc = read_payload(parent, object, body_bytes, &answer->payload, err);
     }
     if (rc == HR_OK) {
         rc = copy_text(parent, &answer->shard);
@@ -396,7 +409,8 @@
     }
     rc = parse_object(body, &object, err);
     if (rc == HR_OK) {
-        rc = read_answer(parent, object, http_status, answer, err);
+        rc = read_answer(parent, object, http_status, body.length_bytes,
+                         answer, err);
     }
     json_decref(object);
     return rc;
--- a/src/trans-peer-link.c
+++ b/src/trans-peer-link.c
@@ -371,6 +371,9 @@
         while (at < (size_t)length && link->state != HR_PEER_LINK_CLOSED) {
             at += consume_received(link, chunk + at, (size_t)length - at);
         }
+        if ((size_t)length < sizeof(chunk)) {
+            return; /* empty for now; what arrives later is polled again */
+        }
     }
 }
 
