Write the parts of an answer without building JSON objects first

Each part was packed into an object, dumped and freed. Plain strings and numbers are now appended to the text directly; other strings still go through the library. A differential test compares random strings and numbers with the library.

bench-daemon reports the rate over the whole time until the last answer.

--- a/bench/bench-daemon.c
+++ b/bench/bench-daemon.c
@@ -7,6 +7,7 @@
 #include <inttypes.h>
 #include <math.h>
 
+#include "base-clock.h"
 #include "cluster.h"
 #include "result-line.h"
 
@@ -19,6 +20,7 @@
     double incomplete;
     double p50_us;
     double p99_us;
+    double elapsed_s; /* until the last answer */
 } LoadResult;
 
 /* Returns the user and system time of a process in seconds. */
@@ -77,14 +79,19 @@
     char *arguments[] = {"load",   "--caller",  caller,  "--kind",
                          "search", "--rate",    rate,    "--seconds",
                          seconds,  "--workers", workers, NULL};
+    HrClock clock = HrClock_System();
     LoadResult result;
+    int64_t start_ns;
     json_t *json;
     pid_t pid;
 
     snprintf(caller, sizeof(caller), "127.0.0.1:%u",
              cluster_daemon_port(cluster, 0, 0));
+    start_ns = HrClock_NowNs(&clock);
     pid = cluster_spawn(cluster, "load.log", arguments);
     waitpid(pid, NULL, 0);
+    result.elapsed_s =
+        (double)(HrClock_NowNs(&clock) - start_ns) / HR_NS_PER_S;
     snprintf(path, sizeof(path), "%s/load.log", cluster->directory);
     json = json_load_file(path, 0, NULL);
     if (json == NULL) {
@@ -135,8 +142,7 @@
     print_result("daemon_query_p50", "us", result.p50_us, NAN, 0);
     print_result("daemon_query_p99", "us", result.p99_us, NAN, 0);
     print_result("daemon_queries_answered", "1/s",
-                 result.answered / strtod(seconds, NULL), strtod(rate, NULL),
-                 0);
+                 result.answered / result.elapsed_s, strtod(rate, NULL), 0);
     print_result("daemon_queries_incomplete", "1", result.incomplete, 0, 0);
 }
 
--- a/src/proto-caller-answer.c
+++ b/src/proto-caller-answer.c
@@ -20,10 +20,16 @@
 static void
 append_part(HrJsonText *text, const HrShardPart *part)
 {
-    HrJsonText_AppendOpenObject(
-        text, json_pack("{s:s,s:s,s:s*,s:I}", "shard", part->shard, "group",
-                        part->group, "server", part->server, "latency_us",
-                        elapsed_us(0, part->latency_ns)));
+    HrJsonText_AppendRaw(text, "{\"shard\":");
+    HrJsonText_AppendString(text, part->shard);
+    HrJsonText_AppendRaw(text, ",\"group\":");
+    HrJsonText_AppendString(text, part->group);
+    if (part->server != NULL) {
+        HrJsonText_AppendRaw(text, ",\"server\":");
+        HrJsonText_AppendString(text, part->server);
+    }
+    HrJsonText_AppendRaw(text, ",\"latency_us\":");
+    HrJsonText_AppendInteger(text, elapsed_us(0, part->latency_ns));
     HrJsonText_AppendRaw(text, ",\"payload\":");
     HrJsonText_Append(text, part->payload.data, part->payload.length_bytes);
     HrJsonText_AppendRaw(text, "}");
--- a/src/proto-fields.c
+++ b/src/proto-fields.c
@@ -1,5 +1,6 @@
 #include "proto-fields.h"
 
+#include <inttypes.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -372,6 +373,43 @@
     json_decref(value);
 }
 
+/* Returns true if a string needs no escapes and is plain ASCII. */
+static bool
+is_plain(const char *string)
+{
+    for (; *string != '\0'; string++) {
+        if (*string < ' ' || *string > '~' || *string == '"' ||
+            *string == '\\') {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Appends a string as JSON. The JSON library takes the strings that are not
+ * plain, and refuses those that are not UTF-8. */
+void
+HrJsonText_AppendString(HrJsonText *text, const char *string)
+{
+    if (string == NULL || !is_plain(string)) {
+        HrJsonText_AppendValue(text, json_string(string));
+        return;
+    }
+    HrJsonText_AppendRaw(text, "\"");
+    HrJsonText_AppendRaw(text, string);
+    HrJsonText_AppendRaw(text, "\"");
+}
+
+/* Appends a whole number. */
+void
+HrJsonText_AppendInteger(HrJsonText *text, int64_t value)
+{
+    char digits[24];
+    int length = snprintf(digits, sizeof(digits), "%" PRId64, value);
+
+    HrJsonText_Append(text, digits, (size_t)length);
+}
+
 /* Appends the members of an object without its closing brace. */
 void
 HrJsonText_AppendOpenObject(HrJsonText *text, json_t *object)
--- a/src/proto-fields.h
+++ b/src/proto-fields.h
@@ -90,6 +90,12 @@
 /* Appends a value as compact JSON and drops its reference. */
 void HrJsonText_AppendValue(HrJsonText *text, json_t *value);
 
+/* Appends a string as JSON; one that is not UTF-8 fails the text. */
+void HrJsonText_AppendString(HrJsonText *text, const char *string);
+
+/* Appends a whole number. */
+void HrJsonText_AppendInteger(HrJsonText *text, int64_t value);
+
 /* Appends the members of an object without its closing brace, so that raw
  * members can follow, and drops its reference. */
 void HrJsonText_AppendOpenObject(HrJsonText *text, json_t *object);
--- a/tests/test-proto-caller.c
+++ b/tests/test-proto-caller.c
@@ -16,6 +16,8 @@
 #define SEED UINT64_C(20261204)
 #define MUTATIONS 60000
 #define SOAK_FACTOR 20
+#define STRING_ROUNDS 20000
+#define STRING_MAX_BYTES 12
 
 #define GOOD_QUERY                                                            \
     "{\"request_id\":\"r1\",\"kind\":\"fleet.sweep\",\"key\":\"depot 7\","    \
@@ -340,6 +342,70 @@
     talloc_free(good);
 }
 
+/* Fills a string with characters that need escapes, plain ones, and bytes
+ * that are often no UTF-8. */
+static void
+draw_string(HrRng *rng, char *string)
+{
+    static const char special[] = "\"\\/\b\f\n\r\t\x1f\x7f~ \xc3\xa9";
+    size_t length = HrRng_Below(rng, STRING_MAX_BYTES + 1), i;
+
+    for (i = 0; i < length; i++) {
+        uint64_t draw = HrRng_Below(rng, 100);
+
+        if (draw < 70) {
+            string[i] = (char)(' ' + HrRng_Below(rng, 95));
+        }
+        else if (draw < 95) {
+            string[i] = special[HrRng_Below(rng, sizeof(special) - 1)];
+        }
+        else {
+            string[i] = (char)(1 + HrRng_Below(rng, 255));
+        }
+    }
+    string[length] = '\0';
+}
+
+/* Guards against strings and numbers that are written in another way than the
+ * JSON library writes them, and against text that is not UTF-8. */
+static void
+test_strings_as_the_library(void **state)
+{
+    HrRng rng = HrRng_FromSeed(SEED);
+    uint32_t i, refused = 0;
+
+    (void)state;
+    print_message("seed %llu\n", (unsigned long long)SEED);
+    for (i = 0; i < STRING_ROUNDS; i++) {
+        HrJsonText text = {0};
+        char string[STRING_MAX_BYTES + 1], *wanted, *got;
+        int64_t number = (int64_t)HrRng_Next(&rng);
+        json_t *value;
+
+        draw_string(&rng, string);
+        value = json_pack("[s,I]", string, (json_int_t)number);
+        wanted = value != NULL ? json_dumps(value, JSON_COMPACT) : NULL;
+        json_decref(value);
+        HrJsonText_AppendRaw(&text, "[");
+        HrJsonText_AppendString(&text, string);
+        HrJsonText_AppendRaw(&text, ",");
+        HrJsonText_AppendInteger(&text, number);
+        HrJsonText_AppendRaw(&text, "]");
+        got = HrJsonText_Finish(&text);
+        if (wanted == NULL) {
+            assert_null(got);
+            refused++;
+        }
+        else {
+            assert_non_null(got);
+            assert_string_equal(got, wanted);
+        }
+        free(wanted);
+        talloc_free(got);
+    }
+    assert_in_range(refused, STRING_ROUNDS / 100, STRING_ROUNDS / 2);
+}
+
 int
 main(void)
 {
@@ -352,6 +418,7 @@
         cmocka_unit_test(test_answer_round_trip),
         cmocka_unit_test(test_refusal_round_trip),
         cmocka_unit_test(test_answer_damaged),
+        cmocka_unit_test(test_strings_as_the_library),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
