Measure the delay of a peer link by answers and pongs only

Cause: the limit of a quiet link was learnt from the time between any frame and the next byte. Reports need no answer, so that the next byte was often that of the ping, and each such sample drove the limit up to its bound of 1 s. A link that had carried little traffic was then found stalled only after 3 s.

Ruled out: the start of the daemon alone, as the limit rises on any idle link. Only frames with a tag, which are sub-requests, and pings are measured now, and a daemon that answers pings while it works is pinged less and less often.

--- a/src/trans-peer-link.c
+++ b/src/trans-peer-link.c
@@ -143,9 +143,11 @@
         return HR_ERR_FULL;
     }
     link->used_ns = HrLoop_NowNs(link->owner->loop);
-    if (!link->sent_since_received) {
-        link->sent_since_received = true;
+    link->sent_since_received = true;
+    if (tag != 0 && !link->waiting) {
+        link->waiting = true;
         link->waiting_since_ns = link->used_ns;
+        link->pongs = 0;
         advance_timer(link, HrPeerStall_NextCheck(link));
     }
     return append_queue(link, &link->queue, bytes, tag);
@@ -295,12 +297,14 @@
         talloc_free(frame);
         return;
     }
+    link->pongs += frame->kind == HR_PEER_PONG;
     if (frame->kind == HR_PEER_PONG || frame->kind == HR_PEER_HELLO ||
         frame->kind == HR_PEER_PROOF) {
         talloc_free(frame);
         return;
     }
     link->used_ns = HrLoop_NowNs(link->owner->loop);
+    link->pongs = 0;
     link->owner->frame(link->owner->arg, link, frame);
 }
 
@@ -376,11 +380,7 @@
 note_received(HrPeerLink *link)
 {
     link->received_ns = HrLoop_NowNs(link->owner->loop);
-    if (link->path != NULL && link->sent_since_received &&
-        link->state == HR_PEER_LINK_READY) {
-        HrPeerDelay_Record(&link->path->delay,
-                           link->received_ns - link->waiting_since_ns);
-    }
+    HrPeerStall_NoteReceived(link, link->received_ns);
     link->ping_open = false;
     link->sent_since_received = false;
 }
--- a/src/trans-peer-link.h
+++ b/src/trans-peer-link.h
@@ -75,7 +75,9 @@
     int64_t ping_sent_ns;
     bool ping_open; /* no byte has arrived since the ping was sent */
     bool sent_since_received;
-    int64_t waiting_since_ns; /* first frame sent since the last byte */
+    bool waiting; /* a frame with a tag was sent since the last byte */
+    int64_t waiting_since_ns; /* when the first of these was */
+    uint32_t pongs;           /* since the last frame of the layer above */
     int64_t timer_at_ns;
     uint64_t peer_id; /* authenticated once the link is ready */
     uint8_t own_nonce[HR_PEER_NONCE_BYTES];
--- a/src/trans-peer-stall.c
+++ b/src/trans-peer-stall.c
@@ -15,6 +15,7 @@
  * connection and two round trips. */
 #define PING_LIMITS 2
 #define HANDSHAKE_LIMITS 8
+#define DOUBLINGS_MAX 5
 
 /* Counts one observed delay. */
 void
@@ -59,7 +60,7 @@
 {
     const HrPeerNodeConfig *config = link->owner->config;
 
-    if (link->sent_since_received) {
+    if (link->waiting) {
         return link->waiting_since_ns;
     }
     if (config->awaits != NULL && config->awaits(config->arg, link->number)) {
@@ -72,6 +73,7 @@
 int64_t
 HrPeerStall_NextCheck(const HrPeerLink *link)
 {
+    uint32_t doublings;
     int64_t since_ns;
 
     if (link->path == NULL || link->stalled) {
@@ -86,7 +88,30 @@
         return link->ping_sent_ns + PING_LIMITS * find_limit(link);
     }
     since_ns = quiet_since(link);
-    return since_ns == HR_TIME_NEVER ? since_ns : since_ns + find_limit(link);
+    if (since_ns == HR_TIME_NEVER) {
+        return since_ns;
+    }
+    /* A daemon that answers pings works on the request: ask less often. */
+    doublings = link->pongs < DOUBLINGS_MAX ? link->pongs : DOUBLINGS_MAX;
+    return since_ns + (find_limit(link) << doublings);
+}
+
+/* Learns from the arrival of a byte. Frames without a tag may need no answer,
+ * so that the time since then says nothing. */
+void
+HrPeerStall_NoteReceived(HrPeerLink *link, int64_t now_ns)
+{
+    if (link->path != NULL && link->state == HR_PEER_LINK_READY) {
+        if (link->ping_open) {
+            HrPeerDelay_Record(&link->path->delay,
+                               now_ns - link->ping_sent_ns);
+        }
+        else if (link->waiting) {
+            HrPeerDelay_Record(&link->path->delay,
+                               now_ns - link->waiting_since_ns);
+        }
+    }
+    link->waiting = false;
 }
 
 /* Returns true if bytes have arrived that were not read yet, because this
