Refuse to listen where another process already does

Cause: the HTTP listeners set SO_REUSEPORT, so two processes could listen on one address and each got some of the connections. Test programs that ran at the same time shared simulated servers that way: with 14 copies of test-process-path at once, 2 of 70 saw a booking run twice and 1 saw an answer that was not complete. Ruled out: a double run in the claims (the two runs were of two clusters with the same request ids).

Change: no SO_REUSEPORT; each test process takes its ports from a block that it holds while it runs.

Before: the new test of a second listener fails.

--- a/src/trans-http-server.c
+++ b/src/trans-http-server.c
@@ -360,8 +360,7 @@
         MHD_OPTION_CONNECTION_LIMIT,
         (unsigned int)server->config.max_connections,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        (size_t)server->config.max_header_bytes,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_NOTIFY_CONNECTION,
+        (size_t)server->config.max_header_bytes, MHD_OPTION_NOTIFY_CONNECTION,
         notify_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
         notify_completed, server, MHD_OPTION_END);
 }
--- a/tests/common-process.c
+++ b/tests/common-process.c
@@ -23,6 +23,9 @@
 #include "base-clock.h"
 
 /* Overall limits; a sanitizer build on a busy machine is slow. */
+#define FIRST_PORT 10000
+#define PORT_BLOCKS 220
+#define BLOCK_PORTS 100
 #define SERVING_LIMIT_MS 60000
 #define EXIT_LIMIT_MS 60000
 #define POLL_MS 20
@@ -127,46 +130,66 @@
     return status;
 }
 
-/* Returns a port that was free a moment ago. */
-static uint16_t
-free_port(void)
+/* Binds a socket to a port of the loopback address; -1 when it is taken. */
+static int
+bind_port(uint32_t port)
 {
     struct sockaddr_in in = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port),
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t length = sizeof(in);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), one = 1;
+
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(fd, (struct sockaddr *)&in, sizeof(in)) != 0 ||
+        listen(fd, 1) != 0) {
+        close(fd);
+        return -1;
+    }
+    return fd;
+}
 
-    assert_int_equal(bind(fd, (struct sockaddr *)&in, sizeof(in)), 0);
-    assert_int_equal(getsockname(fd, (struct sockaddr *)&in, &length), 0);
-    close(fd);
-    return ntohs(in.sin_port);
+/* Returns the first port of a block that belongs to this process: it listens
+ * on the block's last port for as long as it runs. Test programs that run at
+ * the same time would otherwise take each other's ports. The blocks lie below
+ * the range of the ports that the system hands out. */
+static uint32_t
+port_block(void)
+{
+    static uint32_t block;
+    uint32_t tries, first;
+
+    for (tries = 0; block == 0 && tries < PORT_BLOCKS; tries++) {
+        first = FIRST_PORT +
+                ((uint32_t)getpid() + tries) % PORT_BLOCKS * BLOCK_PORTS;
+        if (bind_port(first + BLOCK_PORTS - 1) >= 0) {
+            block = first;
+        }
+    }
+    assert_true(block != 0);
+    return block;
 }
 
-/* Returns the first of several ports, all of which were free a moment ago.
- * They lie below the range of the ports that the system hands out. */
+/* Returns the first of several free ports of this process's block. */
 static uint16_t
 free_port_range(uint32_t count)
 {
-    uint32_t first = 10000 + (uint32_t)getpid() % 200 * 100, i;
-    int tries;
+    static uint32_t next;
+    uint32_t first, i, tries;
 
-    for (tries = 0; tries < 200; tries++, first += 100) {
-        if (first + count > 32000) {
-            first = 10000;
+    for (tries = 0; tries < BLOCK_PORTS; tries++) {
+        if (next + count >= BLOCK_PORTS) {
+            next = 0;
         }
+        first = port_block() + next;
         for (i = 0; i < count; i++) {
-            struct sockaddr_in in = {.sin_family = AF_INET,
-                                     .sin_port = htons((uint16_t)(first + i)),
-                                     .sin_addr.s_addr =
-                                         htonl(INADDR_LOOPBACK)};
-            int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-            int rc = bind(fd, (struct sockaddr *)&in, sizeof(in));
+            int fd = bind_port(first + i);
 
-            close(fd);
-            if (rc != 0) {
+            if (fd < 0) {
                 break;
             }
+            close(fd);
         }
+        next += i == count ? count : i + 1;
         if (i == count) {
             return (uint16_t)first;
         }
@@ -175,6 +198,13 @@
     return 0;
 }
 
+/* Returns a free port of this process's block. */
+static uint16_t
+free_port(void)
+{
+    return free_port_range(1);
+}
+
 /* A body that is being received. */
 typedef struct Received {
     char *data;
--- a/tests/test-process-path.c
+++ b/tests/test-process-path.c
@@ -23,6 +23,12 @@
     const json_t *part;
     size_t i, j;
 
+    if (strcmp(TestAnswer_Text(answer, "status"), "complete") != 0) {
+        char *text = json_dumps(answer->json, JSON_COMPACT | JSON_ENCODE_ANY);
+
+        print_message("HTTP status %d: %s\n", answer->status, text);
+        free(text);
+    }
     assert_string_equal(TestAnswer_Text(answer, "status"), "complete");
     assert_int_equal(json_array_size(parts), groups);
     json_array_foreach(parts, i, part)
--- a/tests/test-trans-http.c
+++ b/tests/test-trans-http.c
@@ -303,6 +303,37 @@
     tear_down(&fixture);
 }
 
+/* Guards against two listeners on one address, each of which would get some
+ * of the connections: SO_REUSEPORT, which the first version set, allowed it.
+ */
+static void
+test_second_listener_is_refused(void **state)
+{
+    Service service = {0};
+    HrClock clock = HrClock_System();
+    HrLoop *loop = HrLoop_Create(NULL, &clock);
+    HrHttpServerConfig config = {.listen = "127.0.0.1:0",
+                                 .max_connections = 10,
+                                 .max_header_bytes = 16384,
+                                 .max_body_bytes = BODY_LIMIT,
+                                 .request_timeout_ms = 1000};
+    HrHttpServer *first, *second;
+    char address[32];
+    HrError err = {0};
+
+    (void)state;
+    first = HrHttpServer_Create(NULL, loop, &config, serve, &service, &err);
+    assert_non_null(first);
+    snprintf(address, sizeof(address), "127.0.0.1:%u",
+             HrHttpServer_Port(first));
+    config.listen = address;
+    second = HrHttpServer_Create(NULL, loop, &config, serve, &service, &err);
+    assert_null(second);
+    assert_int_not_equal(err.kind, HR_OK);
+    talloc_free(first);
+    talloc_free(loop);
+}
+
 int
 main(void)
 {
@@ -312,6 +343,7 @@
         cmocka_unit_test(test_maybe_sent),
         cmocka_unit_test(test_cancel),
         cmocka_unit_test(test_slow_request_is_closed),
+        cmocka_unit_test(test_second_listener_is_refused),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/common-http.c
+++ b/tools/common-http.c
@@ -192,9 +192,8 @@
             port, NULL, NULL, handle_request, listener, MHD_OPTION_SOCK_ADDR,
             (struct sockaddr *)&address, MHD_OPTION_CONNECTION_LIMIT,
             connection_limit, MHD_OPTION_THREAD_STACK_SIZE,
-            (size_t)THREAD_STACK_BYTES, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-            MHD_OPTION_NOTIFY_COMPLETED, complete_request, NULL,
-            MHD_OPTION_END);
+            (size_t)THREAD_STACK_BYTES, MHD_OPTION_NOTIFY_COMPLETED,
+            complete_request, NULL, MHD_OPTION_END);
     }
     if (daemon == NULL) {
         fprintf(stderr, "cannot listen on 127.0.0.1:%u; choose another port\n",
