--- a/src/trans-loop.c
+++ b/src/trans-loop.c
@@ -3,10 +3,12 @@
 #include <bsd/sys/queue.h>
 #include <bsd/sys/tree.h>
 #include <errno.h>
-#include <poll.h>
+#include <sys/epoll.h>
 #include <talloc.h>
+#include <unistd.h>
 
-#define FIRST_CAPACITY 16
+/* Descriptors handled in one round; further ready ones come next. */
+#define ROUND_EVENTS 256
 
 struct HrLoopFd {
     TAILQ_ENTRY(HrLoopFd) entry;
@@ -14,7 +16,7 @@
     uint32_t events;
     HrLoopFdFn *fn;
     void *arg;
-    bool removed; /* freed after the current round */
+    bool removed; /* no longer called */
 };
 
 struct HrLoopTimer {
@@ -31,14 +33,12 @@
 
 struct HrLoop {
     const HrClock *clock;
-    struct FdList watches;
+    int epoll_fd;
+    struct FdList removed; /* freed at the start of the next round */
+    struct epoll_event ready[ROUND_EVENTS];
     struct HrLoopTimers timers;
     uint64_t timer_order;
-    struct pollfd *polled;
-    HrLoopFd **polled_watches;
-    uint32_t capacity;
     bool stopped;
-    bool any_removed;
     HrLoopTimerFn *after_wait;
     HrLoopTimerFn *before_wait;
     void *hook_arg;
@@ -57,6 +57,14 @@
 RB_PROTOTYPE(HrLoopTimers, HrLoopTimer, entry, compare_timers)
 RB_GENERATE(HrLoopTimers, HrLoopTimer, entry, compare_timers)
 
+/* Closes the descriptor of a loop that is being freed. */
+static int
+destroy_loop(HrLoop *loop)
+{
+    close(loop->epoll_fd);
+    return 0;
+}
+
 /* Creates a loop; the clock must outlive it. */
 HrLoop *
 HrLoop_Create(const void *parent, const HrClock *clock)
@@ -66,8 +74,14 @@
     if (loop == NULL) {
         return NULL;
     }
+    loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    if (loop->epoll_fd < 0) {
+        talloc_free(loop);
+        return NULL;
+    }
+    talloc_set_destructor(loop, destroy_loop);
     loop->clock = clock;
-    TAILQ_INIT(&loop->watches);
+    TAILQ_INIT(&loop->removed);
     RB_INIT(&loop->timers);
     return loop;
 }
@@ -79,6 +93,17 @@
     return HrClock_NowNs(loop->clock);
 }
 
+/* Tells the kernel what a watch waits for. */
+static int
+control_watch(const HrLoop *loop, HrLoopFd *watch, int operation)
+{
+    struct epoll_event event = {.data.ptr = watch};
+
+    event.events |= (watch->events & HR_LOOP_READ) != 0 ? EPOLLIN : 0;
+    event.events |= (watch->events & HR_LOOP_WRITE) != 0 ? EPOLLOUT : 0;
+    return epoll_ctl(loop->epoll_fd, operation, watch->fd, &event);
+}
+
 /* Watches a descriptor. */
 HrLoopFd *
 HrLoop_AddFd(HrLoop *loop, int fd, uint32_t events, HrLoopFdFn *fn, void *arg)
@@ -92,7 +117,10 @@
     watch->events = events;
     watch->fn = fn;
     watch->arg = arg;
-    TAILQ_INSERT_TAIL(&loop->watches, watch, entry);
+    if (control_watch(loop, watch, EPOLL_CTL_ADD) != 0) {
+        talloc_free(watch);
+        return NULL;
+    }
     return watch;
 }
 
@@ -100,19 +128,23 @@
 void
 HrLoop_SetEvents(HrLoop *loop, HrLoopFd *watch, uint32_t events)
 {
-    (void)loop;
-    watch->events = events;
+    if (watch->events != events) {
+        watch->events = events;
+        control_watch(loop, watch, EPOLL_CTL_MOD);
+    }
 }
 
-/* Ends a watch. */
+/* Ends a watch. Its descriptor must still be open: the number of a closed one
+ * may already belong to another watch. */
 void
 HrLoop_RemoveFd(HrLoop *loop, HrLoopFd *watch)
 {
-    if (watch == NULL) {
+    if (watch == NULL || watch->removed) {
         return;
     }
+    control_watch(loop, watch, EPOLL_CTL_DEL);
     watch->removed = true;
-    loop->any_removed = true;
+    TAILQ_INSERT_TAIL(&loop->removed, watch, entry);
 }
 
 /* Creates a disarmed timer. */
@@ -162,66 +194,13 @@
 /* Frees the watches that were removed. */
 static void
 free_removed(HrLoop *loop)
-{
-    HrLoopFd *watch, *next;
-
-    if (!loop->any_removed) {
-        return;
-    }
-    loop->any_removed = false;
-    for (watch = TAILQ_FIRST(&loop->watches); watch != NULL; watch = next) {
-        next = TAILQ_NEXT(watch, entry);
-        if (watch->removed) {
-            TAILQ_REMOVE(&loop->watches, watch, entry);
-            talloc_free(watch);
-        }
-    }
-}
-
-/* Makes room for one more polled descriptor. */
-static int
-reserve_polled(HrLoop *loop, uint32_t count)
-{
-    uint32_t capacity = loop->capacity;
-
-    if (count < capacity) {
-        return HR_OK;
-    }
-    capacity = capacity == 0 ? FIRST_CAPACITY : capacity * 2;
-    loop->polled = talloc_realloc(loop, loop->polled, struct pollfd, capacity);
-    loop->polled_watches =
-        talloc_realloc(loop, loop->polled_watches, HrLoopFd *, capacity);
-    if (loop->polled == NULL || loop->polled_watches == NULL) {
-        return HR_ERR_NO_MEMORY;
-    }
-    loop->capacity = capacity;
-    return HR_OK;
-}
-
-/* Fills the poll array; yields the number of descriptors. */
-static int
-fill_polled(HrLoop *loop, uint32_t *count)
 {
     HrLoopFd *watch;
 
-    *count = 0;
-    for (watch = TAILQ_FIRST(&loop->watches); watch != NULL;
-         watch = TAILQ_NEXT(watch, entry)) {
-        struct pollfd *polled;
-
-        if (reserve_polled(loop, *count) != HR_OK) {
-            return HR_ERR_NO_MEMORY;
-        }
-        polled = &loop->polled[*count];
-        polled->fd = watch->fd;
-        polled->revents = 0;
-        polled->events =
-            (short)(((watch->events & HR_LOOP_READ) != 0 ? POLLIN : 0) |
-                    ((watch->events & HR_LOOP_WRITE) != 0 ? POLLOUT : 0));
-        loop->polled_watches[*count] = watch;
-        (*count)++;
+    while ((watch = TAILQ_FIRST(&loop->removed)) != NULL) {
+        TAILQ_REMOVE(&loop->removed, watch, entry);
+        talloc_free(watch);
     }
-    return HR_OK;
 }
 
 /* Returns how long the loop may sleep. */
@@ -242,19 +221,19 @@
     return wait_ns < max_wait_ns ? wait_ns : max_wait_ns;
 }
 
-/* Converts poll events to loop events. */
+/* Converts the kernel's events to loop events. */
 static uint32_t
-loop_events(short revents)
+loop_events(uint32_t ready)
 {
     uint32_t events = 0;
 
-    if ((revents & (POLLIN | POLLHUP)) != 0) {
+    if ((ready & (EPOLLIN | EPOLLHUP)) != 0) {
         events |= HR_LOOP_READ;
     }
-    if ((revents & POLLOUT) != 0) {
+    if ((ready & EPOLLOUT) != 0) {
         events |= HR_LOOP_WRITE;
     }
-    if ((revents & (POLLERR | POLLNVAL)) != 0) {
+    if ((ready & EPOLLERR) != 0) {
         events |= HR_LOOP_ERROR;
     }
     return events;
@@ -262,16 +241,16 @@
 
 /* Calls the handlers of the descriptors that are ready. */
 static void
-handle_descriptors(HrLoop *loop, uint32_t count)
+handle_descriptors(HrLoop *loop, int count)
 {
-    uint32_t i;
+    int i;
 
     for (i = 0; i < count; i++) {
-        HrLoopFd *watch = loop->polled_watches[i];
+        HrLoopFd *watch = loop->ready[i].data.ptr;
 
-        if (loop->polled[i].revents != 0 && !watch->removed) {
+        if (!watch->removed) {
             watch->fn(watch->arg, watch->fd,
-                      loop_events(loop->polled[i].revents));
+                      loop_events(loop->ready[i].events));
         }
     }
 }
@@ -307,24 +286,19 @@
 HrLoop_RunOnce(HrLoop *loop, int64_t max_wait_ns)
 {
     struct timespec wait;
-    uint32_t count;
     int ready;
 
     free_removed(loop);
-    if (fill_polled(loop, &count) != HR_OK) {
-        return HR_ERR_NO_MEMORY;
-    }
     wait = HrTime_FromNs(sleep_ns(loop, max_wait_ns));
-    ready = ppoll(loop->polled, count, &wait, NULL);
+    ready =
+        epoll_pwait2(loop->epoll_fd, loop->ready, ROUND_EVENTS, &wait, NULL);
     if (ready < 0 && errno != EINTR) {
         return HR_ERR_IO;
     }
     if (loop->after_wait != NULL) {
         loop->after_wait(loop->hook_arg);
     }
-    if (ready > 0) {
-        handle_descriptors(loop, count);
-    }
+    handle_descriptors(loop, ready);
     fire_timers(loop);
     if (loop->before_wait != NULL) {
         loop->before_wait(loop->hook_arg);
