Count no lower class against a caller's share of the queue

Change: only entries of the same or a higher class count; those below make room anyway. The new test fails before the change and passes after it; the random comparison with the naive model passes.

--- a/src/coord-admit-queue.c
+++ b/src/coord-admit-queue.c
@@ -60,13 +60,18 @@
     return caller;
 }
 
-/* Returns the number of entries of a caller. */
+/* Returns the number of entries of a caller in a class and those above it. */
 uint32_t
-HrAdmitQueue_CallerWaiting(HrAdmitQueue *queue, const char *caller)
+HrAdmitQueue_CallerWaiting(HrAdmitQueue *queue, const char *caller,
+                           uint32_t priority)
 {
     const HrAdmitCaller *found = find_caller(queue, caller);
+    uint32_t waiting = 0, i;
 
-    return found == NULL ? 0 : found->waiting;
+    for (i = 0; found != NULL && i <= priority; i++) {
+        waiting += found->classes[i].waiting;
+    }
+    return waiting;
 }
 
 /* Returns how many entries would be served before a new one. */
--- a/src/coord-admit-queue.h
+++ b/src/coord-admit-queue.h
@@ -70,8 +70,10 @@
 /* Empties the queue. */
 void HrAdmitQueue_Init(HrAdmitQueue *queue);
 
-/* Returns the number of entries of a caller; 0 for an unknown one. */
-uint32_t HrAdmitQueue_CallerWaiting(HrAdmitQueue *queue, const char *caller);
+/* Returns the number of entries of a caller in a class and those above it; 0
+ * for an unknown caller. */
+uint32_t HrAdmitQueue_CallerWaiting(HrAdmitQueue *queue, const char *caller,
+                                    uint32_t priority);
 
 /* Returns how many entries would be served before a new one of this class and
  * caller, if none arrived later; *same_class is the part in its class. */
--- a/src/coord-admit.c
+++ b/src/coord-admit.c
@@ -276,7 +276,9 @@
     if (finish_ns > (double)arrive->deadline_ns) {
         return HR_REASON_OVERLOADED;
     }
-    if (HrAdmitQueue_CallerWaiting(&admit->queue, caller) >=
+    /* Entries of lower classes do not count: they are served later and make
+     * room for this one. */
+    if (HrAdmitQueue_CallerWaiting(&admit->queue, caller, arrive->priority) >=
         caller_limit(admit, arrive)) {
         return HR_REASON_OVERLOADED;
     }
--- a/tests/test-admit.c
+++ b/tests/test-admit.c
@@ -245,6 +245,23 @@
     assert_int_equal(fates[9].actions, 0);
 }
 
+/* Guards against a caller whose requests of a low class take the share of its
+ * urgent ones; callers without a name are one caller. */
+static void
+test_caller_share_counts_no_lower_class(void **state)
+{
+    uint64_t id;
+
+    (void)state;
+    start(1, 10, 30);
+    for (id = 1; id <= 8; id++) {
+        arrive(id, 7, NULL, HR_NS_PER_S);
+    }
+    assert_int_equal(fates[8].reason, HR_REASON_OVERLOADED);
+    arrive(9, 0, NULL, HR_NS_PER_S);
+    assert_int_equal(fates[9].actions, 0);
+}
+
 /* Guards against a queue without bound, and against a full queue of low
  * classes that keeps a higher one out. */
 static void
@@ -452,6 +469,8 @@
                                   stop),
         cmocka_unit_test_teardown(test_callers_take_turns, stop),
         cmocka_unit_test_teardown(test_caller_share_is_bounded, stop),
+        cmocka_unit_test_teardown(test_caller_share_counts_no_lower_class,
+                                  stop),
         cmocka_unit_test_teardown(test_full_queue_gives_way_to_higher_class,
                                   stop),
         cmocka_unit_test_teardown(test_hopeless_arrival_is_refused_at_once,
