Check the fields of requests that run at most once before claiming

The log names lost members in hexadecimal, as every other view does.

Tests: test-process-path 8 of 8 passed, with a new test of these fields.

--- a/bench/bench-claim.c
+++ b/bench/bench-claim.c
@@ -42,7 +42,7 @@
 typedef struct StoreDone {
     uint32_t partition;
     uint64_t call;
-    HrStoreResult result;
+    HrClaimStoreResult result;
     uint64_t revision;
 } StoreDone;
 
@@ -163,7 +163,7 @@
 
     done->partition = partition;
     done->call = action->u.store.call;
-    done->result = HR_STORE_ABSENT;
+    done->result = HR_CLAIM_STORE_ABSENT;
     if (action->kind == HR_CLAIM_OWNER_ACTION_PUT) {
         count_write(model, action->u.store.value);
         if (model->store_free_ns < model->now_ns) {
@@ -171,7 +171,7 @@
         }
         model->store_free_ns += model->write_ns;
         time_ns = model->store_free_ns + STORE_NS;
-        done->result = HR_STORE_WRITTEN;
+        done->result = HR_CLAIM_STORE_WRITTEN;
         done->revision = ++model->revisions[partition];
     }
     push_event(model, time_ns, EVENT_STORE, daemon, done);
--- a/examples/claim-once.c
+++ b/examples/claim-once.c
@@ -84,16 +84,16 @@
     event.u.store.call = action->u.store.call;
     if (action->kind == HR_CLAIM_OWNER_ACTION_GET) {
         event.u.store.result =
-            key->value == NULL ? HR_STORE_ABSENT : HR_STORE_FOUND;
+            key->value == NULL ? HR_CLAIM_STORE_ABSENT : HR_CLAIM_STORE_FOUND;
     }
     else if (action->u.store.cas_revision != key->revision) {
-        event.u.store.result = HR_STORE_MISMATCH;
+        event.u.store.result = HR_CLAIM_STORE_MISMATCH;
     }
     else {
         talloc_free(key->value);
         key->value = HrClaimValue_Copy(example, action->u.store.value);
         key->revision++;
-        event.u.store.result = HR_STORE_WRITTEN;
+        event.u.store.result = HR_CLAIM_STORE_WRITTEN;
     }
     event.u.store.revision = key->revision;
     event.u.store.value = key->value;
--- a/src/coord-claim-owner.c
+++ b/src/coord-claim-owner.c
@@ -416,7 +416,7 @@
     partition = &owner->partitions[index];
     partition->call = 0;
     switch (event->u.store.result) {
-    case HR_STORE_FOUND:
+    case HR_CLAIM_STORE_FOUND:
         if (event->u.store.value != NULL) {
             accept_value(owner, partition, event->u.store.value,
                          event->u.store.revision);
@@ -426,24 +426,24 @@
         partition->retry_at_ns = choose_retry(owner, event->now_ns);
         refuse_without_store(owner, partition);
         break;
-    case HR_STORE_ABSENT:
+    case HR_CLAIM_STORE_ABSENT:
         accept_value(owner, partition, NULL, 0);
         break;
-    case HR_STORE_WRITTEN:
+    case HR_CLAIM_STORE_WRITTEN:
         commit_proposed(partition, event->u.store.revision);
         HrCounters_Add(owner->config.counters, HR_COUNTER_claim_commits, 1);
         break;
-    case HR_STORE_MISMATCH:
+    case HR_CLAIM_STORE_MISMATCH:
         abandon_proposed(partition, false);
         forget_committed(partition);
         HrCounters_Add(owner->config.counters, HR_COUNTER_claim_conflicts, 1);
         break;
-    case HR_STORE_UNKNOWN:
+    case HR_CLAIM_STORE_UNKNOWN:
         abandon_proposed(partition, true);
         forget_committed(partition);
         partition->retry_at_ns = choose_retry(owner, event->now_ns);
         break;
-    case HR_STORE_FAILED:
+    case HR_CLAIM_STORE_FAILED:
         abandon_proposed(partition, false);
         partition->retry_at_ns = choose_retry(owner, event->now_ns);
         refuse_without_store(owner, partition);
--- a/src/coord-claim.h
+++ b/src/coord-claim.h
@@ -81,14 +81,14 @@
 /* ---- Partition owner ---- */
 
 /* How a store call ended. */
-typedef enum HrStoreResult {
-    HR_STORE_FOUND,    /* GET: value and revision */
-    HR_STORE_ABSENT,   /* GET: no such key; its revision is 0 */
-    HR_STORE_WRITTEN,  /* PUT: revision */
-    HR_STORE_MISMATCH, /* PUT: the key has another revision */
-    HR_STORE_FAILED,   /* nothing was or will be written */
-    HR_STORE_UNKNOWN,  /* PUT: it may take effect, or may have */
-} HrStoreResult;
+typedef enum HrClaimStoreResult {
+    HR_CLAIM_STORE_FOUND,    /* GET: value and revision */
+    HR_CLAIM_STORE_ABSENT,   /* GET: no such key; its revision is 0 */
+    HR_CLAIM_STORE_WRITTEN,  /* PUT: revision */
+    HR_CLAIM_STORE_MISMATCH, /* PUT: the key has another revision */
+    HR_CLAIM_STORE_FAILED,   /* nothing was or will be written */
+    HR_CLAIM_STORE_UNKNOWN,  /* PUT: it may take effect, or may have */
+} HrClaimStoreResult;
 
 typedef struct HrClaimOwnerConfig {
     int64_t commit_interval_ns; /* between the starts of two commits */
@@ -114,7 +114,7 @@
         struct {
             uint32_t partition;
             uint64_t call; /* of the action */
-            HrStoreResult result;
+            HrClaimStoreResult result;
             uint64_t revision;
             const HrClaimValue *value; /* FOUND; NULL: it is malformed */
         } store;
--- a/src/daemon-control-claim.c
+++ b/src/daemon-control-claim.c
@@ -44,23 +44,23 @@
 static void handle_holder(HrControlClaims *claims, HrClaimHolderEvent *event);
 
 /* Returns the result of a call as the owner names it. */
-static HrStoreResult
+static HrClaimStoreResult
 convert_end(const Call *call, const HrStoreEnd *end)
 {
     switch (end->kind) {
     case HR_STORE_END_VALUE:
-        return call->is_put ? HR_STORE_WRITTEN : HR_STORE_FOUND;
+        return call->is_put ? HR_CLAIM_STORE_WRITTEN : HR_CLAIM_STORE_FOUND;
     case HR_STORE_END_ABSENT:
-        return HR_STORE_ABSENT;
+        return HR_CLAIM_STORE_ABSENT;
     case HR_STORE_END_MISMATCH:
-        return HR_STORE_MISMATCH;
+        return HR_CLAIM_STORE_MISMATCH;
     case HR_STORE_END_SAME:
     case HR_STORE_END_NOT_DONE:
-        return HR_STORE_FAILED;
+        return HR_CLAIM_STORE_FAILED;
     case HR_STORE_END_LOST:
-        return call->is_put ? HR_STORE_UNKNOWN : HR_STORE_FAILED;
+        return call->is_put ? HR_CLAIM_STORE_UNKNOWN : HR_CLAIM_STORE_FAILED;
     }
-    return HR_STORE_UNKNOWN;
+    return HR_CLAIM_STORE_UNKNOWN;
 }
 
 /* Hands the end of a store call to the owner. */
@@ -76,7 +76,7 @@
     event.u.store.call = call->call;
     event.u.store.result = convert_end(call, end);
     event.u.store.revision = end->revision;
-    if (event.u.store.result == HR_STORE_FOUND &&
+    if (event.u.store.result == HR_CLAIM_STORE_FOUND &&
         HrClaimValue_Decode(call, end->value, &value, NULL) == HR_OK) {
         event.u.store.value = value;
     }
--- a/src/daemon-control-member.c
+++ b/src/daemon-control-member.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 #include <talloc.h>
@@ -58,6 +59,7 @@
 static void
 perform_actions(HrControlMember *member)
 {
+    char id[17];
     HrLog *log = member->control->task->daemon->log;
     bool changed = false;
     HrMemberAction action;
@@ -71,8 +73,9 @@
             changed = true;
             break;
         case HR_MEMBER_ACTION_GONE:
-            HrLog_Write(log, HR_LOG_WARN, "member_gone", "{s:I}", "daemon_id",
-                        (json_int_t)action.u.gone_id);
+            snprintf(id, sizeof(id), "%016" PRIx64, action.u.gone_id);
+            HrLog_Write(log, HR_LOG_WARN, "member_gone", "{s:s}", "daemon_id",
+                        id);
             break;
         case HR_MEMBER_ACTION_LEAVING:
             HrLog_Write(log, HR_LOG_INFO, "platform_leaving", NULL);
--- a/src/daemon-query.c
+++ b/src/daemon-query.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "coord-claim.h"
 #include "daemon-query-state.h"
 #include "daemon-report.h"
 #include "proto-burn.h"
@@ -255,6 +256,36 @@
     drain_admission(state);
 }
 
+/* Checks the fields that a request needs to run at most once. */
+static int
+check_claim_fields(const HrQuery *query, HrError *err)
+{
+    const HrCallerQuery *caller = query->caller;
+    int64_t wall_ms = HrClock_WallMs(query->owner->task->daemon->clock);
+
+    if (caller->expires_ms == 0) {
+        return HrError_Set(
+            err, HR_ERR_INVALID,
+            "expires_ms is missing: a request of kind %s runs at most once, "
+            "so its id needs an expiry within 10 minutes",
+            caller->kind);
+    }
+    if (caller->expires_ms - wall_ms > HR_CLAIM_MAX_AHEAD_MS) {
+        return HrError_Set(err, HR_ERR_RANGE,
+                           "expires_ms is %lld s ahead: choose an expiry "
+                           "within 10 minutes",
+                           (long long)(caller->expires_ms - wall_ms) / 1000);
+    }
+    if (strlen(caller->request_id) >= HR_REQUEST_ID_BYTES) {
+        return HrError_Set(
+            err, HR_ERR_TOO_LARGE,
+            "request_id has %zu bytes: the id of a request that "
+            "runs at most once has at most %d",
+            strlen(caller->request_id), HR_REQUEST_ID_BYTES - 1);
+    }
+    return HR_OK;
+}
+
 /* Routes a decoded query. */
 static void
 route_query(HrQuery *query)
@@ -279,11 +310,9 @@
         HrQuery_Refuse(query, HR_REASON_OVERLOADED, true);
         return;
     }
-    if (!route->idempotent && query->caller->expires_ms == 0) {
-        HrError_Set(&err, HR_ERR_INVALID,
-                    "expires_ms is missing: a request of kind %s runs at most "
-                    "once, so its id needs an expiry within 10 minutes",
-                    query->caller->kind);
+    if (!route->idempotent && check_claim_fields(query, &err) != HR_OK) {
+        HrCounters_Add(state->task->daemon->counters, HR_COUNTER_bad_requests,
+                       1);
         HrQueryTask_RejectText(state, query->http_number, &err);
         HrQuery_Remove(query);
         return;
--- a/src/proto-store.c
+++ b/src/proto-store.c
@@ -242,7 +242,7 @@
 {
     const char *address = json_string_value(json_object_get(value, "address"));
     const char *state = json_string_value(json_object_get(value, "state"));
-    HrVm *vm = &list->vms[list->vm_count];
+    HrPlatformVm *vm = &list->vms[list->vm_count];
 
     if (address == NULL || !is_ip_address(address)) {
         return HrError_Set(err, HR_ERR_PROTOCOL,
@@ -281,7 +281,7 @@
                            "has more than %d elements; check the platform",
                            HR_VM_LIST_MAX);
     }
-    list->vms = talloc_zero_array(list, HrVm, json_array_size(vms));
+    list->vms = talloc_zero_array(list, HrPlatformVm, json_array_size(vms));
     if (list->vms == NULL) {
         return HrError_Set(err, HR_ERR_NO_MEMORY, "out of memory");
     }
--- a/src/proto-store.h
+++ b/src/proto-store.h
@@ -39,13 +39,13 @@
 } HrLeaseResult;
 
 /* One entry of the platform's VM list. */
-typedef struct HrVm {
+typedef struct HrPlatformVm {
     const char *address; /* numeric IP address */
     bool leaving;
-} HrVm;
+} HrPlatformVm;
 
 typedef struct HrVmList {
-    HrVm *vms;
+    HrPlatformVm *vms;
     uint32_t vm_count;
 } HrVmList;
 
--- a/tests/common-claims.c
+++ b/tests/common-claims.c
@@ -38,7 +38,7 @@
     uint64_t call;
     uint64_t cas_revision;
     HrClaimValue *value; /* of a PUT, then of a GET's result */
-    HrStoreResult result;
+    HrClaimStoreResult result;
     uint64_t revision;
 } StoreCall;
 
@@ -120,7 +120,7 @@
     claims->puts++;
     if (claims->store_kind != HR_CLAIMS_STORE_NO_CAS &&
         call->cas_revision != key->revision) {
-        call->result = HR_STORE_MISMATCH;
+        call->result = HR_CLAIM_STORE_MISMATCH;
         return;
     }
     if (claims->store_kind == HR_CLAIMS_STORE_SHARED) {
@@ -129,7 +129,7 @@
     HrClaimValue_Free(key->value, NULL);
     key->value = HrClaimValue_Copy(claims, call->value);
     key->revision++;
-    call->result = HR_STORE_WRITTEN;
+    call->result = HR_CLAIM_STORE_WRITTEN;
     call->revision = key->revision;
 }
 
@@ -137,7 +137,8 @@
 static void
 apply_get(const StoreKey *key, StoreCall *call)
 {
-    call->result = key->value != NULL ? HR_STORE_FOUND : HR_STORE_ABSENT;
+    call->result =
+        key->value != NULL ? HR_CLAIM_STORE_FOUND : HR_CLAIM_STORE_ABSENT;
     call->revision = key->revision;
     if (key->value != NULL) {
         call->value = HrClaimValue_Copy(call, key->value);
@@ -157,7 +158,7 @@
         fleet->now_ns + HrRng_ExponentialNs(&fleet->rng, HR_NS_PER_MS);
 
     if (claims->faults.store_down) {
-        call->result = HR_STORE_FAILED;
+        call->result = HR_CLAIM_STORE_FAILED;
     }
     else if (call->put) {
         apply_put(claims, key, call);
@@ -165,9 +166,9 @@
     else {
         apply_get(key, call);
     }
-    if (call->result == HR_STORE_WRITTEN &&
+    if (call->result == HR_CLAIM_STORE_WRITTEN &&
         HrRng_Chance(&fleet->rng, claims->faults.store_lost)) {
-        call->result = HR_STORE_UNKNOWN;
+        call->result = HR_CLAIM_STORE_UNKNOWN;
         reply_ns += 500 * HR_NS_PER_MS;
     }
     HrFleet_Trace(fleet, "store: daemon %u %s partition %u: result %d",
@@ -198,7 +199,7 @@
     call->call = action->u.store.call;
     call->cas_revision = action->u.store.cas_revision;
     if (HrRng_Chance(&fleet->rng, claims->faults.store_fail)) {
-        call->result = HR_STORE_FAILED;
+        call->result = HR_CLAIM_STORE_FAILED;
         HrFleet_At(fleet, time_ns, daemon, EVENT_STORE_DONE, call);
         return;
     }
@@ -207,7 +208,7 @@
     }
     if (call->put && HrRng_Chance(&fleet->rng, claims->faults.store_late)) {
         told = talloc_memdup(fleet, call, sizeof(*call));
-        told->result = HR_STORE_UNKNOWN;
+        told->result = HR_CLAIM_STORE_UNKNOWN;
         HrFleet_At(fleet, time_ns + 200 * HR_NS_PER_MS, daemon,
                    EVENT_STORE_DONE, told);
         call->report = false;
--- a/tests/test-claim-owner.c
+++ b/tests/test-claim-owner.c
@@ -129,7 +129,7 @@
 
 /* Ends the store call that was taken last. */
 static void
-finish(Rig *rig, HrStoreResult result, uint64_t revision,
+finish(Rig *rig, HrClaimStoreResult result, uint64_t revision,
        const HrClaimValue *value)
 {
     HrClaimOwnerEvent event = {.kind = HR_CLAIM_OWNER_EVENT_STORE};
@@ -164,10 +164,10 @@
 {
     ask(rig, sequence);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_ABSENT, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_ABSENT, 0, NULL);
     assert_int_equal(
         expect(rig, HR_CLAIM_OWNER_ACTION_PUT)->u.store.cas_revision, 0);
-    finish(rig, HR_STORE_WRITTEN, 1, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 1, NULL);
     expect_reply(rig, sequence, HR_CLAIM_VERDICT_GRANTED);
     expect_none(rig);
 }
@@ -181,13 +181,13 @@
     ask(rig, 1);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
     expect_none(rig);
-    finish(rig, HR_STORE_ABSENT, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_ABSENT, 0, NULL);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
     assert_string_equal(rig->action.u.store.key, "hickory/claims/62");
     expect_none(rig);
     advance(rig, SECOND);
     expect_none(rig);
-    finish(rig, HR_STORE_WRITTEN, 1, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 1, NULL);
     expect_reply(rig, 1, HR_CLAIM_VERDICT_GRANTED);
 }
 
@@ -205,7 +205,7 @@
     advance(rig, 300 * MILLI);
     tell(rig, 1, HR_CLAIM_DONE);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
-    finish(rig, HR_STORE_WRITTEN, 2, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 2, NULL);
     reply = expect_reply(rig, 2, HR_CLAIM_VERDICT_RECORDED);
     assert_int_equal(reply->state, HR_CLAIM_DONE);
     assert_memory_equal(reply->result, "ok", 2);
@@ -225,7 +225,7 @@
     advance(rig, 300 * MILLI);
     tell(rig, 1, HR_CLAIM_UNKNOWN);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
-    finish(rig, HR_STORE_WRITTEN, 2, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 2, NULL);
     expect(rig, HR_CLAIM_OWNER_ACTION_SEND);
     tell(rig, 1, HR_CLAIM_DONE);
     expect(rig, HR_CLAIM_OWNER_ACTION_SEND);
@@ -249,12 +249,12 @@
     tell(rig, 1, HR_CLAIM_RELEASED);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
     assert_int_equal(rig->action.u.store.value->record_count, 0);
-    finish(rig, HR_STORE_WRITTEN, 2, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 2, NULL);
     expect(rig, HR_CLAIM_OWNER_ACTION_SEND); /* the confirmation */
     expect_none(rig);
     advance(rig, 200 * MILLI);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
-    finish(rig, HR_STORE_WRITTEN, 3, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 3, NULL);
     expect_reply(rig, 2, HR_CLAIM_VERDICT_GRANTED);
 }
 
@@ -283,7 +283,7 @@
     advance(rig, 200 * MILLI);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
     assert_int_equal(rig->action.u.store.value->record_count, 6);
-    finish(rig, HR_STORE_WRITTEN, 2, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 2, NULL);
     for (i = 0; i < 5; i++) {
         expect(rig, HR_CLAIM_OWNER_ACTION_SEND);
     }
@@ -299,20 +299,20 @@
 
     ask(rig, 1);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_ABSENT, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_ABSENT, 0, NULL);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
-    finish(rig, HR_STORE_UNKNOWN, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_UNKNOWN, 0, NULL);
     ask(rig, 2);
     expect_none(rig);
     advance(rig, SECOND);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FAILED, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_FAILED, 0, NULL);
     /* Only the ask that may be written waits on. */
     expect_reply(rig, 2, HR_CLAIM_VERDICT_REFUSED);
     expect_none(rig);
     advance(rig, SECOND);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FOUND, 1, make_value(rig, 1, HR_CLAIM_HELD));
+    finish(rig, HR_CLAIM_STORE_FOUND, 1, make_value(rig, 1, HR_CLAIM_HELD));
     expect_reply(rig, 1, HR_CLAIM_VERDICT_GRANTED);
 }
 
@@ -325,16 +325,16 @@
 
     ask(rig, 1);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_ABSENT, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_ABSENT, 0, NULL);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
-    finish(rig, HR_STORE_MISMATCH, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_MISMATCH, 0, NULL);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FOUND, 1, make_value(rig, 9, HR_CLAIM_HELD));
+    finish(rig, HR_CLAIM_STORE_FOUND, 1, make_value(rig, 9, HR_CLAIM_HELD));
     expect_none(rig);
     /* While it waits it reads again, since another owner may record it. */
     advance(rig, 1100 * MILLI);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FOUND, 2, make_value(rig, 9, HR_CLAIM_DONE));
+    finish(rig, HR_CLAIM_STORE_FOUND, 2, make_value(rig, 9, HR_CLAIM_DONE));
     expect_reply(rig, 1, HR_CLAIM_VERDICT_RECORDED);
 }
 
@@ -351,7 +351,7 @@
     send(rig, first);
     ask(rig, 2);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FAILED, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_FAILED, 0, NULL);
     reply = expect_reply(rig, 1, HR_CLAIM_VERDICT_REFUSED);
     assert_int_equal(reply->reason, HR_REASON_STORE_UNAVAILABLE);
     assert_true(reply->not_run);
@@ -368,7 +368,7 @@
 
     ask(rig, 1);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FOUND, 4, NULL);
+    finish(rig, HR_CLAIM_STORE_FOUND, 4, NULL);
     assert_false(expect_reply(rig, 1, HR_CLAIM_VERDICT_REFUSED)->not_run);
     expect_none(rig);
 }
@@ -384,10 +384,10 @@
     rig->wall_ms = WALL_MS + 30000;
     ask(rig, 1);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_ABSENT, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_ABSENT, 0, NULL);
     expect(rig, HR_CLAIM_OWNER_ACTION_PUT);
     expect_none(rig);
-    finish(rig, HR_STORE_WRITTEN, 1, NULL);
+    finish(rig, HR_CLAIM_STORE_WRITTEN, 1, NULL);
     reply = expect_reply(rig, 1, HR_CLAIM_VERDICT_REFUSED);
     assert_int_equal(reply->reason, HR_REASON_EXPIRED);
     assert_true(reply->not_run);
@@ -410,7 +410,7 @@
         1);
     ask(rig, 1);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FOUND, 5, value);
+    finish(rig, HR_CLAIM_STORE_FOUND, 5, value);
     reply = expect_reply(rig, 1, HR_CLAIM_VERDICT_REFUSED);
     assert_int_equal(reply->reason, HR_REASON_EXPIRED);
     assert_false(reply->not_run);
@@ -427,7 +427,7 @@
     message.expires_ms = WALL_MS + HR_CLAIM_MAX_AHEAD_MS + 1;
     send(rig, message);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_ABSENT, 0, NULL);
+    finish(rig, HR_CLAIM_STORE_ABSENT, 0, NULL);
     expect_reply(rig, 1, HR_CLAIM_VERDICT_REFUSED);
     expect_none(rig);
 }
@@ -469,7 +469,7 @@
              HrOwner_ClaimPartition("a"));
     send(rig, message);
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
-    finish(rig, HR_STORE_FOUND, 5, make_full_value(rig));
+    finish(rig, HR_CLAIM_STORE_FOUND, 5, make_full_value(rig));
     assert_int_equal(expect_reply(rig, 1, HR_CLAIM_VERDICT_REFUSED)->reason,
                      HR_REASON_OVERLOADED);
     expect_none(rig);
@@ -518,7 +518,8 @@
     while (HrClaimOwner_Pending(rig->owner) > 0) {
         advance(rig, HrClaimOwner_NextTimer(rig->owner) - rig->now_ns);
         if (HrClaimOwner_Next(rig->owner, &rig->action)) {
-            finish(rig, HR_STORE_FOUND, 1, make_value(rig, 1, HR_CLAIM_HELD));
+            finish(rig, HR_CLAIM_STORE_FOUND, 1,
+                   make_value(rig, 1, HR_CLAIM_HELD));
         }
     }
     assert_true(rig->now_ns <= 7 * SECOND);
--- a/tests/test-process-path.c
+++ b/tests/test-process-path.c
@@ -143,6 +143,41 @@
     TestCluster_Stop(&cluster);
 }
 
+/* Guards against a booking that is refused with a reason that invites useless
+ * retries when the caller must change the request. */
+static void
+test_booking_fields_are_checked(void **state)
+{
+    static const char format[] =
+        "{\"request_id\":\"%s\",\"kind\":\"book\",\"payload\":{}%s}";
+    static const char long_id[] = "0123456789012345678901234567890123456789"
+                                  "0123456789012345678901234567890123456789";
+    char body[256], expiry[64];
+    TestCluster cluster;
+    TestAnswer answer;
+
+    (void)state;
+    TestCluster_Start(&cluster, 1, 2, 1);
+    snprintf(body, sizeof(body), format, "a", "");
+    answer = TestCluster_Query(&cluster, 0, body);
+    assert_int_equal(answer.status, 400);
+    TestAnswer_Release(&answer);
+    snprintf(expiry, sizeof(expiry), ",\"expires_ms\":%lld",
+             (long long)TestClock_WallMs() + 3600000);
+    snprintf(body, sizeof(body), format, "a", expiry);
+    answer = TestCluster_Query(&cluster, 0, body);
+    assert_int_equal(answer.status, 400);
+    TestAnswer_Release(&answer);
+    snprintf(expiry, sizeof(expiry), ",\"expires_ms\":%lld",
+             (long long)TestClock_WallMs() + 60000);
+    snprintf(body, sizeof(body), format, long_id, expiry);
+    answer = TestCluster_Query(&cluster, 0, body);
+    assert_int_not_equal(answer.status, 200);
+    assert_int_not_equal(answer.status, 503);
+    TestAnswer_Release(&answer);
+    TestCluster_Stop(&cluster);
+}
+
 /* A caller that sends searches until it is told to stop. */
 typedef struct Caller {
     const TestCluster *cluster;
@@ -333,6 +368,7 @@
         cmocka_unit_test(test_operator_endpoints),
         cmocka_unit_test(test_search_through_each_daemon),
         cmocka_unit_test(test_booking_runs_once),
+        cmocka_unit_test(test_booking_fields_are_checked),
         cmocka_unit_test(test_graceful_shutdown),
         cmocka_unit_test(test_loss_and_restart),
         cmocka_unit_test(test_store_outage),
