--- a/src/coord-burn.c
+++ b/src/coord-burn.c
@@ -173,13 +173,15 @@
     return counts;
 }
 
-/* Returns true if the caller cancelled the query. */
+/* Returns true if the answer says nothing of the service: the caller
+ * cancelled the query or gave no key. */
 static bool
-is_cancelled(const HrGatherAnswer *answer)
+is_excluded(const HrGatherAnswer *answer)
 {
     uint32_t i;
 
-    if (answer->reason == HR_REASON_CANCELLED) {
+    if (answer->reason == HR_REASON_CANCELLED ||
+        answer->reason == HR_REASON_NO_KEY) {
         return true;
     }
     for (i = 0; i < answer->gap_count; i++) {
@@ -200,7 +202,7 @@
     HrBurnPoint *point;
     int rc;
 
-    if (wall_ns < 0 || is_cancelled(answer)) {
+    if (wall_ns < 0 || is_excluded(answer)) {
         return HR_OK;
     }
     if (record == NULL) {
--- a/src/coord-gather.c
+++ b/src/coord-gather.c
@@ -102,7 +102,7 @@
         bool lacks_key = gather->single && gather->key == NULL;
 
         return HrGather_Finish(gather,
-                               has_maps && lacks_key ? HR_REASON_NO_ROUTE
+                               has_maps && lacks_key ? HR_REASON_NO_KEY
                                                      : HR_REASON_NO_INDEX,
                                now_ns);
     }
--- a/src/coord-types.c
+++ b/src/coord-types.c
@@ -20,6 +20,7 @@
     [HR_REASON_EXPIRED] = "expired",
     [HR_REASON_STORE_UNAVAILABLE] = "store_unavailable",
     [HR_REASON_CANCELLED] = "cancelled",
+    [HR_REASON_NO_KEY] = "no_key",
 };
 
 /* Returns the stable lower-case name of a reason. */
--- a/src/coord-types.h
+++ b/src/coord-types.h
@@ -64,6 +64,7 @@
     HR_REASON_EXPIRED,
     HR_REASON_STORE_UNAVAILABLE,
     HR_REASON_CANCELLED,
+    HR_REASON_NO_KEY, /* the route finds the shard by a key; none was given */
     HR_REASON_COUNT
 } HrReason;
 
--- a/src/daemon-query-answer.c
+++ b/src/daemon-query-answer.c
@@ -15,7 +15,14 @@
     case HR_STATUS_UNKNOWN:
         return 504;
     case HR_STATUS_REFUSED:
-        return answer->reason == HR_REASON_NO_ROUTE ? 404 : 503;
+        switch (answer->reason) {
+        case HR_REASON_NO_ROUTE:
+            return 404;
+        case HR_REASON_NO_KEY:
+            return 400;
+        default:
+            return 503;
+        }
     }
     return 500;
 }
