--- a/src/state-settings.c
+++ b/src/state-settings.c
@@ -86,7 +86,7 @@
     OPTIONAL("store", "address", FIELD_ADDRESS, store_address),
     COUNT("store", "timeout_ms", store_timeout_ms, 50, 60000, 2000),
     COUNT("tasks", "query", query_tasks, 1, 64, 1),
-    COUNT("tasks", "sched", sched_tasks, 1, 64, 1),
+    COUNT("tasks", "sched", sched_tasks, 1, 64, 2),
     COUNT("limits", "queries", max_queries, 1, 1048576, 4096),
     COUNT("timing", "status_poll_ms", status_poll_ms, 50, 60000, 1000),
     COUNT("timing", "entries_keep_ms", entries_keep_ms, 0, 600000, 5000),
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -50,6 +50,7 @@
     assert_string_equal(settings->caller_advertise, "127.0.0.1:7100");
     assert_string_equal(settings->peer_advertise, "127.0.0.1:7102");
     assert_int_equal(settings->query_tasks, 1);
+    assert_int_equal(settings->sched_tasks, 2);
     assert_int_equal(settings->caller.max_body_bytes, 1048576);
     assert_null(settings->store_address);
     for (i = 0; i < HR_PEER_KEY_BYTES; i++) {
