--- a/src/daemon-placement.c
+++ b/src/daemon-placement.c
@@ -4,6 +4,9 @@
 #include <talloc.h>
 #include <uthash.h>
 
+#include "base-rng.h"
+#include "coord-owner-index.h"
+
 /* A group with the data centres of its servers. */
 typedef struct Entry {
     HrPlacedGroup placed; /* first: HrPlacement_Next casts it back */
@@ -15,8 +18,8 @@
 
 struct HrPlacement {
     uint64_t tables_revision;
+    uint64_t view_digest; /* of what the ranking depends on */
     uint64_t view_revision;
-    bool has_view;
     Entry *entries;
     void *memory; /* parent of all entries */
 };
@@ -135,6 +138,8 @@
 static void
 rank_entries(HrPlacement *placement, const HrMemberView *view)
 {
+    HrOwnerIndex *index =
+        view != NULL ? HrOwnerIndex_Create(NULL, view) : NULL;
     Entry *entry;
 
     for (entry = placement->entries; entry != NULL; entry = entry->hh.next) {
@@ -142,12 +147,35 @@
                                     entry->data_centre_count};
 
         entry->placed.count = 0;
-        if (view != NULL) {
-            entry->placed.count = HrOwner_Candidates(
-                view, entry->placed.pool, entry->placed.group, &prefer,
+        if (index != NULL) {
+            entry->placed.count = HrOwnerIndex_Candidates(
+                index, entry->placed.pool, entry->placed.group, &prefer,
                 entry->placed.ids, HR_OWNER_CANDIDATES);
         }
     }
+    talloc_free(index);
+}
+
+/* Returns a digest of what the ranking depends on; 0 without a view. Reports
+ * of load and suspicions change a view often but no rank, and ranking 4,300
+ * groups over 1,900 members takes 25 ms. */
+static uint64_t
+digest_view(const HrMemberView *view)
+{
+    uint64_t digest = 1;
+    uint32_t i;
+
+    for (i = 0; view != NULL && i < view->member_count; i++) {
+        const HrMember *member = &view->members[i];
+        HrMemberState state = member->state == HR_MEMBER_SUSPECT
+                                  ? HR_MEMBER_ALIVE
+                                  : member->state;
+
+        digest = HrHash_Bytes(&member->daemon_id, sizeof(member->daemon_id),
+                              digest + (uint64_t)state);
+        digest = HrHash_String(member->data_centre, digest);
+    }
+    return view != NULL ? digest : 0;
 }
 
 /* Brings the placement up to date. */
@@ -158,10 +186,13 @@
     uint64_t tables_revision = tables != NULL ? tables->revision : 0;
     uint64_t view_revision = view != NULL ? view->revision : 0;
     bool new_tables = placement->tables_revision != tables_revision;
-    bool new_view = placement->view_revision != view_revision ||
-                    placement->has_view != (view != NULL);
+    uint64_t digest = placement->view_digest;
 
-    if (!new_tables && !new_view) {
+    if (placement->view_revision != view_revision || digest == 0) {
+        digest = digest_view(view);
+        placement->view_revision = view_revision;
+    }
+    if (!new_tables && digest == placement->view_digest) {
         return false;
     }
     if (new_tables) {
@@ -169,8 +200,7 @@
     }
     rank_entries(placement, view);
     placement->tables_revision = tables_revision;
-    placement->view_revision = view_revision;
-    placement->has_view = view != NULL;
+    placement->view_digest = digest;
     return true;
 }
 
--- a/tests/test-daemon-parts.c
+++ b/tests/test-daemon-parts.c
@@ -244,6 +244,13 @@
     assert_int_equal(HrPlacedGroup_Rank(group, ids[1]), 1);
     assert_int_equal(HrPlacedGroup_Rank(group, 7), -1);
     view.revision = 2;
+    members[0].spare_percent = 50;
+    members[1].state = HR_MEMBER_SUSPECT;
+    assert_false(HrPlacement_Update(placement, &tables, &view));
+    view.revision = 3;
+    members[1].state = HR_MEMBER_LEAVING;
+    assert_true(HrPlacement_Update(placement, &tables, &view));
+    view.revision = 4;
     view.member_count = 1;
     assert_true(HrPlacement_Update(placement, &tables, &view));
     assert_int_equal(HrPlacement_Find(placement, "pool", "b")->count, 1);
