Bound the questions that a pool home gets

Cause: every daemon asked the home of each pool in use every 2 s. At 1,900 daemons that is 950 questions a second at one daemon for one pool; at about 100 bytes each way it exceeds the 18 KB/s for control (computed, not measured).

Change: from 200 members on the interval grows with the members, 10 ms each, so that a home gets at most 100 a second. At 4 daemons nothing changes.

--- a/src/daemon-query-maps.c
+++ b/src/daemon-query-maps.c
@@ -3,8 +3,12 @@
 
 #include "daemon-query-state.h"
 
-/* Entry daemons check the maps of a pool with its home this often. */
+/* Entry daemons check the maps of a pool with its home this often, or this
+ * often for each member if that is more: the home then gets at most 100
+ * questions a second, however many daemons there are. A map that is out of
+ * date costs one pull, when a server does not hold its version any more. */
 #define CACHE_NS (2 * HR_NS_PER_S)
+#define CACHE_PER_MEMBER_NS (10 * HR_NS_PER_MS)
 /* An unanswered question is repeated after this. */
 #define ASK_INTERVAL_NS (250 * HR_NS_PER_MS)
 
@@ -32,6 +36,18 @@
     return pool;
 }
 
+/* Returns how long the maps of a pool are used before they are checked. */
+static int64_t
+choose_cache_ns(const HrQueryTask *state)
+{
+    const HrMemberView *view =
+        HrSnapshots_Members(state->task->daemon->snapshots);
+    int64_t scaled_ns =
+        view != NULL ? view->member_count * CACHE_PER_MEMBER_NS : 0;
+
+    return scaled_ns > CACHE_NS ? scaled_ns : CACHE_NS;
+}
+
 /* Makes the control task check the maps of a pool with its home. */
 void
 HrQueryTask_WantMaps(HrQueryTask *state, const char *name,
@@ -45,7 +61,7 @@
         (pool->awaited && now_ns - pool->asked_ns < ASK_INTERVAL_NS)) {
         return;
     }
-    if (!now && now_ns - pool->asked_ns < CACHE_NS) {
+    if (!now && now_ns - pool->asked_ns < choose_cache_ns(state)) {
         return;
     }
     pool->asked_ns = now_ns;
