--- a/tools/fake-backend.c
+++ b/tools/fake-backend.c
@@ -10,230 +10,16 @@
 #include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 #include <unistd.h>
-#include <uthash.h>
 
-#include "base-clock.h"
-#include "base-rng.h"
 #include "common-http.h"
+#include "common-server.h"
 
-#define MAX_VERSIONS 8
-#define NAME_BYTES 64
-#define ID_BYTES 96
-#define COLD_NS (5 * HR_NS_PER_S)
-#define COLD_FACTOR 5
 #define SILENCE_NS (20 * HR_NS_PER_S)
-#define EXTRA_QUEUE_PER_SLOT 2
-
-typedef enum ServerState {
-    SERVER_READY,
-    SERVER_COLD,
-    SERVER_DRAINING,
-} ServerState;
-
-typedef enum FaultKind {
-    FAULT_NONE,
-    FAULT_LATE,     /* ten times the service time */
-    FAULT_WRONG_ID, /* answers with another attempt id */
-    FAULT_WRONG_VERSION,
-    FAULT_TRUNCATED, /* closes the connection after half of the answer */
-    FAULT_LOST,      /* runs the request and closes without an answer */
-    FAULT_SILENT,    /* keeps the connection open without an answer */
-    FAULT_SHED,
-    FAULT_ERROR, /* answers 500 */
-} FaultKind;
-
-static const char *const fault_names[] = {
-    "none", "late",   "wrong_id", "wrong_version", "truncated",
-    "lost", "silent", "shed",     "error"};
-static const char *const state_names[] = {"ready", "cold", "draining"};
-
-/* A request that waits for a slot or runs. */
-typedef struct Running {
-    char id[ID_BYTES];
-    bool cancelled;
-    struct Running *next;
-} Running;
-
-/* How often one non-idempotent request ran, by its request id. */
-typedef struct RunCount {
-    char *request_id;
-    uint32_t runs;
-    UT_hash_handle hh;
-} RunCount;
-
-/* Settings and state shared by the servers of the pool. */
-typedef struct Pool {
-    const char *name;
-    uint32_t groups;
-    uint32_t replicas;
-    uint32_t slots;
-    uint32_t connections;
-    int64_t service_ns;
-    HrClock clock;
-    pthread_mutex_t mutex;
-    HrRng rng;
-    RunCount *runs;
-    uint64_t executed;
-} Pool;
-
-typedef struct Server {
-    Pool *pool;
-    char name[NAME_BYTES];
-    uint32_t group;
-    uint64_t start_id;
-    pthread_mutex_t mutex;
-    pthread_cond_t changed;
-    ServerState state;
-    int64_t cold_end_ns;
-    uint32_t running;
-    uint32_t queued;
-    uint64_t versions[MAX_VERSIONS];
-    uint32_t version_count;
-    FaultKind fault;
-    double fault_rate;
-    Running *requests;
-    uint64_t started;
-    uint64_t shed;
-    uint64_t max_running;
-} Server;
-
-/* The fields of a search request. */
-typedef struct Search {
-    const char *query_id;
-    uint64_t attempt_id;
-    const char *shard;
-    uint64_t version;
-    int64_t deadline_ns;
-    bool idempotent;
-} Search;
-
-/* Returns the index of a name in a list, or fallback. */
-static int
-find_name(const char *const *names, int count, const char *name, int fallback)
-{
-    int i;
-
-    for (i = 0; name != NULL && i < count; i++) {
-        if (strcmp(names[i], name) == 0) {
-            return i;
-        }
-    }
-    return fallback;
-}
-
-/* Draws from the pool's random numbers. */
-static double
-draw_unit(Pool *pool)
-{
-    double value;
-
-    pthread_mutex_lock(&pool->mutex);
-    value = HrRng_Unit(&pool->rng);
-    pthread_mutex_unlock(&pool->mutex);
-    return value;
-}
-
-/* Returns true if a server holds an index version. */
-static bool
-has_version(const Server *server, uint64_t version)
-{
-    uint32_t i;
-
-    for (i = 0; i < server->version_count; i++) {
-        if (server->versions[i] == version) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Returns how many shards a group has in a version. */
-static uint32_t
-count_shards(uint64_t version)
-{
-    return version % 2 == 0 ? 2 : 1;
-}
-
-/* Writes the name of a group's shard. */
-static void
-name_shard(const Server *server, uint64_t version, uint32_t part, char *name,
-           size_t name_bytes)
-{
-    if (count_shards(version) == 1) {
-        snprintf(name, name_bytes, "%s-%02u", server->pool->name,
-                 server->group);
-        return;
-    }
-    snprintf(name, name_bytes, "%s-%02u%c", server->pool->name, server->group,
-             (char)('a' + part));
-}
-
-/* Returns the lower end of a slice of the key range. */
-static uint64_t
-slice_start(uint64_t slice, uint64_t slices)
-{
-    return (uint64_t)((((unsigned __int128)1 << 64) * slice) / slices);
-}
-
-/* Returns true if the server holds a shard in a version. */
-static bool
-has_shard(const Server *server, uint64_t version, const char *shard)
-{
-    uint32_t i;
-    char name[NAME_BYTES];
-
-    for (i = 0; i < count_shards(version); i++) {
-        name_shard(server, version, i, name, sizeof(name));
-        if (strcmp(name, shard) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Describes the shards of one version. */
-static json_t *
-describe_version(const Server *server, uint64_t version)
-{
-    json_t *shards = json_array();
-    uint32_t i, parts = count_shards(version);
-    uint64_t slices = (uint64_t)server->pool->groups * parts;
-    char name[NAME_BYTES], from[17], to[17];
-
-    for (i = 0; i < parts; i++) {
-        uint64_t slice = (uint64_t)server->group * parts + i;
-        uint64_t end =
-            slice + 1 == slices ? UINT64_MAX : slice_start(slice + 1, slices);
-
-        name_shard(server, version, i, name, sizeof(name));
-        snprintf(from, sizeof(from), "%016" PRIx64,
-                 slice_start(slice, slices));
-        snprintf(to, sizeof(to), "%016" PRIx64,
-                 slice + 1 == slices ? end : end - 1);
-        json_array_append_new(shards,
-                              json_pack("{s:s,s:s,s:s}", "name", name,
-                                        "key_from", from, "key_to", to));
-    }
-    return json_pack("{s:I,s:o}", "version", (json_int_t)version, "shards",
-                     shards);
-}
-
-/* Returns the state, ending a slow start whose time is over. */
-static ServerState
-current_state(Server *server)
-{
-    if (server->state == SERVER_COLD &&
-        HrClock_NowNs(&server->pool->clock) >= server->cold_end_ns) {
-        server->state = SERVER_READY;
-    }
-    return server->state;
-}
 
 /* Sets a reply to a JSON value and releases it. */
 static void
@@ -247,21 +33,21 @@
 
 /* Answers GET /v1/status. */
 static void
-reply_with_status(Server *server, FakeReply *reply)
+reply_with_status(FakeServer *server, FakeReply *reply)
 {
     json_t *versions = json_array();
     uint32_t i;
 
     pthread_mutex_lock(&server->mutex);
     for (i = 0; i < server->version_count; i++) {
-        json_array_append_new(versions,
-                              describe_version(server, server->versions[i]));
+        json_array_append_new(
+            versions, FakeServer_DescribeVersion(server, server->versions[i]));
     }
     reply_with_json(
         reply, MHD_HTTP_OK,
         json_pack("{s:s,s:I,s:s,s:i,s:i,s:i,s:i,s:o}", "server", server->name,
                   "start_id", (json_int_t)server->start_id, "state",
-                  state_names[current_state(server)], "running",
+                  fake_state_names[FakeServer_CurrentState(server)], "running",
                   (int)server->running, "queued", (int)server->queued, "slots",
                   (int)server->pool->slots, "connections",
                   (int)server->pool->connections, "versions", versions));
@@ -270,8 +56,9 @@
 
 /* Answers a search with a status and, if it ran, a payload. */
 static void
-reply_to_search(Server *server, const Search *search, unsigned int code,
-                const char *status, json_t *payload, FakeReply *reply)
+reply_to_search(FakeServer *server, const FakeSearch *search,
+                unsigned int code, const char *status, json_t *payload,
+                FakeReply *reply)
 {
     pthread_mutex_lock(&server->mutex);
     reply_with_json(
@@ -281,7 +68,7 @@
                   (json_int_t)search->attempt_id, "shard", search->shard,
                   "version", (json_int_t)search->version, "status", status,
                   "payload", payload == NULL ? json_null() : payload,
-                  "draining", server->state == SERVER_DRAINING, "server",
+                  "draining", server->state == FAKE_SERVER_DRAINING, "server",
                   server->name, "start_id", (json_int_t)server->start_id,
                   "load", "running", (int)server->running, "queued",
                   (int)server->queued));
@@ -290,7 +77,8 @@
 
 /* Reads the headers of a search; returns false when one is missing. */
 static bool
-parse_search(const Server *server, const FakeRequest *request, Search *search)
+parse_search(const FakeServer *server, const FakeRequest *request,
+             FakeSearch *search)
 {
     const char *attempt = FakeHttp_Header(request, "X-Attempt-Id");
     const char *version = FakeHttp_Header(request, "X-Version");
@@ -311,189 +99,57 @@
     return true;
 }
 
-/* Writes the id under which a request can be cancelled. */
-static void
-format_id(char *id, const char *query_id, uint64_t attempt_id)
-{
-    snprintf(id, ID_BYTES, "%s/%" PRIu64, query_id, attempt_id);
-}
-
-/* Waits on the server's condition until a time; the mutex is held. */
-static void
-wait_until(Server *server, int64_t end_ns)
-{
-    struct timespec end;
-    int64_t left_ns = end_ns - HrClock_NowNs(&server->pool->clock);
-
-    clock_gettime(CLOCK_REALTIME, &end);
-    end = HrTime_FromNs(HrTime_ToNs(end) + (left_ns < 0 ? 0 : left_ns));
-    pthread_cond_timedwait(&server->changed, &server->mutex, &end);
-}
-
-/* Takes a slot, waiting in the queue. Returns NULL, or the status with which
- * the request is turned away without having run; the mutex is held. */
-static const char *
-take_slot(Server *server, const Search *search, const Running *entry)
-{
-    uint32_t slots = server->pool->slots;
-
-    if (server->queued >= slots * EXTRA_QUEUE_PER_SLOT) {
-        server->shed++;
-        return "shed";
-    }
-    server->queued++;
-    while (server->running >= slots && !entry->cancelled &&
-           HrClock_NowNs(&server->pool->clock) < search->deadline_ns) {
-        wait_until(server, search->deadline_ns);
-    }
-    server->queued--;
-    if (server->running >= slots || entry->cancelled) {
-        return "declined";
-    }
-    server->running++;
-    server->started++;
-    if (server->running > server->max_running) {
-        server->max_running = server->running;
-    }
-    return NULL;
-}
-
-/* Counts a run of a non-idempotent request by its id in the payload. */
-static void
-count_run(Pool *pool, const FakeRequest *request)
-{
-    json_t *payload = json_loads(request->body, JSON_DECODE_ANY, NULL);
-    const char *id = json_string_value(json_object_get(payload, "request_id"));
-    RunCount *count = NULL;
-
-    pthread_mutex_lock(&pool->mutex);
-    pool->executed++;
-    if (id != NULL) {
-        HASH_FIND_STR(pool->runs, id, count);
-        if (count == NULL) {
-            count = calloc(1, sizeof(*count));
-            if (count == NULL) {
-                abort();
-            }
-            count->request_id = strdup(id);
-            HASH_ADD_KEYPTR(hh, pool->runs, count->request_id, strlen(id),
-                            count);
-        }
-        count->runs++;
-    }
-    pthread_mutex_unlock(&pool->mutex);
-    json_decref(payload);
-}
-
-/* Runs a request that holds a slot, until its time is over or, if it is
- * idempotent, until it is cancelled. Returns false when it was cancelled. */
-static bool
-run_request(Server *server, const Search *search, FaultKind fault,
-            const Running *entry)
-{
-    Pool *pool = server->pool;
-    int64_t duration_ns =
-        (int64_t)((0.5 + draw_unit(pool)) * (double)pool->service_ns);
-    int64_t end_ns;
-    bool cancelled;
-
-    if (fault == FAULT_LATE) {
-        duration_ns *= 10;
-    }
-    pthread_mutex_lock(&server->mutex);
-    if (current_state(server) == SERVER_COLD) {
-        duration_ns *= COLD_FACTOR;
-    }
-    end_ns = HrClock_NowNs(&pool->clock) + duration_ns;
-    while (HrClock_NowNs(&pool->clock) < end_ns &&
-           !(entry->cancelled && search->idempotent)) {
-        wait_until(server, end_ns);
-    }
-    cancelled = entry->cancelled && search->idempotent;
-    server->running--;
-    pthread_cond_broadcast(&server->changed);
-    pthread_mutex_unlock(&server->mutex);
-    return !cancelled;
-}
-
 /* Applies the faults that change an answer. */
 static void
-apply_fault(Search *search, FaultKind fault, FakeReply *reply)
+apply_fault(FakeSearch *search, FakeFault fault, FakeReply *reply)
 {
     switch (fault) {
-    case FAULT_WRONG_ID:
+    case FAKE_FAULT_WRONG_ID:
         search->attempt_id += 1000000;
         break;
-    case FAULT_WRONG_VERSION:
+    case FAKE_FAULT_WRONG_VERSION:
         search->version++;
         break;
-    case FAULT_TRUNCATED:
+    case FAKE_FAULT_TRUNCATED:
         reply->kind = FAKE_REPLY_TRUNCATE;
         break;
-    case FAULT_LOST:
+    case FAKE_FAULT_LOST:
         reply->kind = FAKE_REPLY_DROP;
         break;
-    case FAULT_SILENT:
+    case FAKE_FAULT_SILENT:
         FakeHttp_Sleep(SILENCE_NS);
         reply->kind = FAKE_REPLY_DROP;
         break;
-    case FAULT_NONE:
-    case FAULT_LATE:
-    case FAULT_SHED:
-    case FAULT_ERROR:
+    case FAKE_FAULT_NONE:
+    case FAKE_FAULT_LATE:
+    case FAKE_FAULT_SHED:
+    case FAKE_FAULT_ERROR:
         break;
     }
 }
 
-/* Removes a request from the server's list; the mutex is held. */
-static void
-remove_running(Server *server, const Running *entry)
-{
-    Running **link = &server->requests;
-
-    while (*link != entry) {
-        link = &(*link)->next;
-    }
-    *link = entry->next;
-}
-
-/* Adds a request to the server's list. */
-static Running *
-add_running(Server *server, const Search *search)
-{
-    Running *entry = talloc_zero(NULL, Running);
-
-    if (entry == NULL) {
-        abort();
-    }
-    format_id(entry->id, search->query_id, search->attempt_id);
-    entry->next = server->requests;
-    server->requests = entry;
-    return entry;
-}
-
 /* Runs an admitted search and answers it. */
 static void
-execute_search(Server *server, Search *search, const FakeRequest *request,
-               FaultKind fault, FakeReply *reply)
+execute_search(FakeServer *server, FakeSearch *search,
+               const FakeRequest *request, FakeFault fault, FakeReply *reply)
 {
-    Running *entry;
+    FakeRunning *entry;
     const char *declined;
     bool finished = true;
     json_t *payload;
 
     pthread_mutex_lock(&server->mutex);
-    entry = add_running(server, search);
-    declined = take_slot(server, search, entry);
+    entry = FakeServer_AddRequest(server, search);
+    declined = FakeServer_TakeSlot(server, search, entry);
     pthread_mutex_unlock(&server->mutex);
     if (declined == NULL) {
         if (!search->idempotent) {
-            count_run(server->pool, request);
+            FakePool_CountRun(server->pool, request->body);
         }
-        finished = run_request(server, search, fault, entry);
+        finished = FakeServer_Run(server, search, fault, entry);
     }
     pthread_mutex_lock(&server->mutex);
-    remove_running(server, entry);
+    FakeServer_RemoveRequest(server, entry);
     pthread_mutex_unlock(&server->mutex);
     talloc_free(entry);
     if (declined != NULL) {
@@ -513,10 +169,10 @@
 
 /* Answers POST /v1/search. */
 static void
-handle_search(Server *server, const FakeRequest *request, FakeReply *reply)
+handle_search(FakeServer *server, const FakeRequest *request, FakeReply *reply)
 {
-    Search search;
-    FaultKind fault = FAULT_NONE;
+    FakeSearch search;
+    FakeFault fault = FAKE_FAULT_NONE;
     bool known;
 
     if (!parse_search(server, request, &search)) {
@@ -525,10 +181,10 @@
         return;
     }
     pthread_mutex_lock(&server->mutex);
-    known = has_version(server, search.version) &&
-            has_shard(server, search.version, search.shard);
-    if (server->fault != FAULT_NONE &&
-        draw_unit(server->pool) < server->fault_rate) {
+    known = FakeServer_HasVersion(server, search.version) &&
+            FakeServer_HasShard(server, search.version, search.shard);
+    if (server->fault != FAKE_FAULT_NONE &&
+        FakePool_DrawUnit(server->pool) < server->fault_rate) {
         fault = server->fault;
     }
     pthread_mutex_unlock(&server->mutex);
@@ -537,12 +193,12 @@
                         reply);
         return;
     }
-    if (fault == FAULT_SHED) {
+    if (fault == FAKE_FAULT_SHED) {
         reply_to_search(server, &search, MHD_HTTP_SERVICE_UNAVAILABLE, "shed",
                         NULL, reply);
         return;
     }
-    if (fault == FAULT_ERROR) {
+    if (fault == FAKE_FAULT_ERROR) {
         FakeReply_SetText(reply, MHD_HTTP_INTERNAL_SERVER_ERROR, "{}");
         return;
     }
@@ -551,18 +207,18 @@
 
 /* Answers POST /v1/cancel. */
 static void
-handle_cancel(Server *server, const FakeRequest *request, FakeReply *reply)
+handle_cancel(FakeServer *server, const FakeRequest *request, FakeReply *reply)
 {
     const char *query_id = FakeHttp_Header(request, "X-Query-Id");
     const char *attempt = FakeHttp_Header(request, "X-Attempt-Id");
-    char id[ID_BYTES];
-    Running *entry;
+    char id[FAKE_ID_BYTES];
+    FakeRunning *entry;
 
     if (query_id == NULL || attempt == NULL) {
         FakeReply_SetText(reply, MHD_HTTP_BAD_REQUEST, "{}");
         return;
     }
-    format_id(id, query_id, strtoull(attempt, NULL, 10));
+    FakeServer_FormatId(id, query_id, strtoull(attempt, NULL, 10));
     pthread_mutex_lock(&server->mutex);
     for (entry = server->requests; entry != NULL; entry = entry->next) {
         if (strcmp(entry->id, id) == 0) {
@@ -574,25 +230,10 @@
     FakeReply_SetText(reply, MHD_HTTP_OK, "{}");
 }
 
-/* Reads a list of versions such as "7,8". */
-static void
-parse_versions(Server *server, const char *text)
-{
-    char *end;
-
-    server->version_count = 0;
-    while (*text != '\0' && server->version_count < MAX_VERSIONS) {
-        server->versions[server->version_count++] = strtoull(text, &end, 10);
-        text = *end == ',' ? end + 1 : end;
-        if (end == text && *end != '\0' && *end != ',') {
-            break;
-        }
-    }
-}
-
 /* Answers POST /control: state, fault, rate, versions. */
 static void
-handle_control(Server *server, const FakeRequest *request, FakeReply *reply)
+handle_control(FakeServer *server, const FakeRequest *request,
+               FakeReply *reply)
 {
     const char *state = FakeHttp_Param(request, "state");
     const char *fault = FakeHttp_Param(request, "fault");
@@ -600,18 +241,19 @@
     const char *versions = FakeHttp_Param(request, "versions");
 
     pthread_mutex_lock(&server->mutex);
-    server->state =
-        (ServerState)find_name(state_names, 3, state, (int)server->state);
-    if (state != NULL && server->state == SERVER_COLD) {
-        server->cold_end_ns = HrClock_NowNs(&server->pool->clock) + COLD_NS;
-    }
-    server->fault =
-        (FaultKind)find_name(fault_names, 9, fault, (int)server->fault);
+    server->state = (FakeServerState)Fake_FindName(
+        fake_state_names, FAKE_STATE_COUNT, state, (int)server->state);
+    if (state != NULL && server->state == FAKE_SERVER_COLD) {
+        server->cold_end_ns =
+            HrClock_NowNs(&server->pool->clock) + FAKE_COLD_NS;
+    }
+    server->fault = (FakeFault)Fake_FindName(
+        fake_fault_names, FAKE_FAULT_COUNT, fault, (int)server->fault);
     server->fault_rate = rate != NULL
                              ? strtod(rate, NULL)
                              : (fault != NULL ? 1.0 : server->fault_rate);
     if (versions != NULL) {
-        parse_versions(server, versions);
+        FakeServer_ParseVersions(server, versions);
     }
     pthread_mutex_unlock(&server->mutex);
     FakeReply_SetText(reply, MHD_HTTP_OK, "{}");
@@ -619,11 +261,11 @@
 
 /* Answers GET /control: what ran, and how often each request id did. */
 static void
-reply_with_runs(Server *server, FakeReply *reply)
+reply_with_runs(FakeServer *server, FakeReply *reply)
 {
-    Pool *pool = server->pool;
+    FakePool *pool = server->pool;
     json_t *runs = json_object();
-    RunCount *count, *next;
+    FakeRunCount *count, *next;
     uint64_t started, shed, max_running;
 
     pthread_mutex_lock(&server->mutex);
@@ -649,7 +291,7 @@
 static void
 handle_server(void *context, const FakeRequest *request, FakeReply *reply)
 {
-    Server *server = context;
+    FakeServer *server = context;
 
     if (strcmp(request->path, "/v1/search") == 0) {
         handle_search(server, request, reply);
@@ -674,23 +316,6 @@
     FakeReply_SetText(reply, MHD_HTTP_NOT_FOUND, "{}");
 }
 
-/* Prepares one server. */
-static void
-init_server(Server *server, Pool *pool, uint32_t index, const char *versions)
-{
-    server->pool = pool;
-    server->group = index / pool->replicas;
-    snprintf(server->name, sizeof(server->name), "%s-%02u-%u", pool->name,
-             server->group, index % pool->replicas);
-    /* The start id must rise when a server restarts; JSON integers carry the
-     * 53 bits that microseconds since 1970 need. */
-    server->start_id =
-        (uint64_t)(HrTime_ToNs(HrClock_Wall(&pool->clock)) / HR_NS_PER_US);
-    pthread_mutex_init(&server->mutex, NULL);
-    pthread_cond_init(&server->changed, NULL);
-    parse_versions(server, versions);
-}
-
 /* Prints what GET /control of a running server reports. */
 static int
 print_runs(int port)
@@ -733,8 +358,8 @@
     struct arg_end *end = arg_end(5);
     void *table[] = {name,    port,     groups, replicas,  slots, connections,
                      service, versions, seed,   read_runs, end};
-    static Pool pool;
-    Server *servers;
+    static FakePool pool;
+    FakeServer *servers;
     uint32_t i, count;
 
     groups->ival[0] = replicas->ival[0] = 1;
@@ -761,13 +386,13 @@
     pool.rng = HrRng_FromSeed((uint64_t)seed->ival[0]);
     pthread_mutex_init(&pool.mutex, NULL);
     count = pool.groups * pool.replicas;
-    servers = talloc_zero_array(NULL, Server, count);
+    servers = talloc_zero_array(NULL, FakeServer, count);
     if (servers == NULL) {
         return EXIT_FAILURE;
     }
     FakeHttp_BlockSignals();
     for (i = 0; i < count; i++) {
-        init_server(&servers[i], &pool, i, versions->sval[0]);
+        FakeServer_Init(&servers[i], &pool, i, versions->sval[0]);
         FakeHttp_Start((uint16_t)(port->ival[0] + (int)i), pool.connections,
                        handle_server, &servers[i]);
     }
