Split the pool home from the pulling of index maps

The home now marks the groups that a merge has counted; a reply that says unchanged no longer copies the maps. The copies of maps are in the state layer.

--- a/src/daemon-control-maps.c
+++ b/src/daemon-control-maps.c
@@ -3,31 +3,19 @@
 #include <uthash.h>
 
 #include "coord-owner.h"
+#include "daemon-control-home.h"
 #include "daemon-control-state.h"
+#include "state-index-map-copy.h"
 
-/* A group that has not reported for this long is not merged any more. */
-#define REPORT_KEEP_NS (10 * HR_NS_PER_S)
 /* A pool home that has not replied after this is given up; the asker then
  * gets the maps that it has. */
 #define PULL_TIMEOUT_NS (300 * HR_NS_PER_MS)
 
-/* What the servers of one group hold, as last reported. */
-typedef struct GroupReport {
-    UT_hash_handle hh;
-    char *group;
-    HrGroupVersion *versions;
-    uint32_t version_count;
-    uint64_t hash; /* of the encoded report */
-    int64_t received_ns;
-} GroupReport;
-
-/* One pool. The first part is used where this daemon is the pool home, the
- * second where it pulls from the home. */
+/* One pool. */
 typedef struct Pool {
     UT_hash_handle hh;
     char *name;
-    GroupReport *reports; /* hash */
-    HrIndexMapSet *merged;
+    HrPoolHome *home; /* NULL until a group reports to this daemon */
     HrLoopTimer *pull_timer;
     bool pull_open;
     HrIndexMapSet *held; /* what the tasks of this daemon use; a copy */
@@ -39,68 +27,6 @@
     Pool *pools; /* hash */
 };
 
-/* Copies shards as children of parent; NULL when memory runs out. */
-static HrShard *
-copy_shards(const void *parent, const HrShard *shards, uint32_t count)
-{
-    HrShard *copy = talloc_array(parent, HrShard, count);
-    uint32_t i;
-
-    for (i = 0; copy != NULL && i < count; i++) {
-        copy[i] = shards[i];
-        copy[i].name = talloc_strdup(copy, shards[i].name);
-        copy[i].group = talloc_strdup(copy, shards[i].group);
-        if (copy[i].name == NULL || copy[i].group == NULL) {
-            TALLOC_FREE(copy);
-        }
-    }
-    return copy;
-}
-
-/* Copies one map as a child of parent. */
-static HrIndexMap *
-copy_map(const void *parent, const char *pool, const HrIndexMap *map)
-{
-    HrIndexMap *copy = talloc_zero(parent, HrIndexMap);
-
-    if (copy == NULL) {
-        return NULL;
-    }
-    copy->pool = talloc_strdup(copy, pool);
-    copy->version = map->version;
-    copy->shard_count = map->shard_count;
-    copy->shards = copy_shards(copy, map->shards, map->shard_count);
-    if (copy->pool == NULL || copy->shards == NULL) {
-        TALLOC_FREE(copy);
-    }
-    return copy;
-}
-
-/* Copies a set of maps as a child of parent; NULL when memory runs out. */
-static HrIndexMapSet *
-copy_set(const void *parent, const char *pool, const HrIndexMapSet *set)
-{
-    HrIndexMapSet *copy = talloc_zero(parent, HrIndexMapSet);
-    uint32_t i;
-
-    if (copy == NULL) {
-        return NULL;
-    }
-    copy->revision = set->revision;
-    copy->maps = talloc_array(copy, HrIndexMap *, set->map_count);
-    for (i = 0; copy->maps != NULL && i < set->map_count; i++) {
-        copy->maps[i] = copy_map(copy, pool, set->maps[i]);
-        if (copy->maps[i] == NULL) {
-            break;
-        }
-        copy->map_count++;
-    }
-    if (copy->map_count < set->map_count) {
-        TALLOC_FREE(copy);
-    }
-    return copy;
-}
-
 /* Orders pools by name, for the lookup in the published table. */
 static int
 compare_pools(const void *left, const void *right)
@@ -129,7 +55,7 @@
             continue;
         }
         entry->pool = talloc_strdup(table, pool->name);
-        entry->set = copy_set(table, pool->name, pool->held);
+        entry->set = HrIndexMapSet_Copy(table, pool->held);
         if (entry->pool != NULL && entry->set != NULL) {
             table->pool_count++;
         }
@@ -215,7 +141,7 @@
         pool->held->map_count > 0) {
         return;
     }
-    copy = copy_set(pool, pool->name, set);
+    copy = HrIndexMapSet_Copy(pool, set);
     if (copy == NULL) {
         return;
     }
@@ -224,161 +150,24 @@
     publish_maps(pool->owner);
 }
 
-/* Returns the groups of a pool's row that have reported lately. Returns the
- * number of groups; those without a report have no versions. */
-static uint32_t
-collect_reports(Pool *pool, const HrPool *row, const HrGroupVersion **lists,
-                uint32_t *counts)
-{
-    int64_t now_ns = HrLoop_NowNs(pool->owner->control->task->loop);
-    uint32_t i, j, count = 0;
-
-    for (i = 0; i < row->server_count; i++) {
-        const char *group = row->servers[i].group;
-        GroupReport *report = NULL;
-
-        for (j = 0; j < i && strcmp(row->servers[j].group, group) != 0; j++) {
-        }
-        if (j < i) {
-            continue;
-        }
-        HASH_FIND_STR(pool->reports, group, report);
-        if (report != NULL && now_ns - report->received_ns < REPORT_KEEP_NS) {
-            lists[count] = report->versions;
-            counts[count] = report->version_count;
-            count++;
-        }
-    }
-    return count;
-}
-
-/* Returns a revision above the former one, also across pool homes. */
-static uint64_t
-next_revision(const Pool *pool)
-{
-    uint64_t wall_ms =
-        (uint64_t)HrClock_WallMs(pool->owner->control->task->daemon->clock);
-    uint64_t former = pool->merged != NULL ? pool->merged->revision : 0;
-
-    return wall_ms > former ? wall_ms : former + 1;
-}
-
-/* Merges the reports of a pool. */
-static void
-merge_pool(Pool *pool)
-{
-    const HrTables *tables =
-        HrSnapshots_Tables(pool->owner->control->task->daemon->snapshots);
-    const HrPool *row =
-        tables != NULL ? HrTables_FindPool(tables, pool->name) : NULL;
-    const HrGroupVersion **lists;
-    HrIndexMapSet *merged;
-    uint32_t *counts, count;
-
-    if (row == NULL) {
-        return;
-    }
-    lists = talloc_array(pool, const HrGroupVersion *, row->server_count);
-    counts = talloc_array(pool, uint32_t, row->server_count);
-    if (lists != NULL && counts != NULL) {
-        count = collect_reports(pool, row, lists, counts);
-        merged = HrIndexMapSet_Merge(pool, pool->name, lists, counts, count,
-                                     next_revision(pool));
-        if (merged != NULL) {
-            talloc_free(pool->merged);
-            pool->merged = merged;
-        }
-    }
-    talloc_free(lists);
-    talloc_free(counts);
-}
-
-/* Copies the versions of a report. */
-static HrGroupVersion *
-copy_versions(const void *parent, const HrPeerGroupReport *report)
-{
-    HrGroupVersion *copy =
-        talloc_array(parent, HrGroupVersion, report->version_count);
-    uint32_t i;
-
-    for (i = 0; copy != NULL && i < report->version_count; i++) {
-        copy[i] = report->versions[i];
-        copy[i].shards = copy_shards(copy, report->versions[i].shards,
-                                     report->versions[i].shard_count);
-        if (copy[i].shards == NULL) {
-            TALLOC_FREE(copy);
-        }
-    }
-    return copy;
-}
-
-/* Returns the hash of a report, to see whether it has changed. */
-static uint64_t
-hash_report(const HrPeerFrame *frame)
-{
-    HrBytes bytes;
-    uint64_t hash = 0;
-
-    if (HrPeerFrame_Encode(NULL, frame, 0, &bytes) == HR_OK) {
-        hash = HrHash_Bytes(bytes.data, bytes.length_bytes, 0);
-        talloc_free((void *)bytes.data);
-    }
-    return hash;
-}
-
-/* Returns the record of a group, creating it when needed. */
-static GroupReport *
-obtain_report(Pool *pool, const char *group)
-{
-    GroupReport *report = NULL;
-
-    HASH_FIND_STR(pool->reports, group, report);
-    if (report != NULL) {
-        return report;
-    }
-    report = talloc_zero(pool, GroupReport);
-    if (report == NULL) {
-        return NULL;
-    }
-    report->group = talloc_strdup(report, group);
-    if (report->group == NULL) {
-        talloc_free(report);
-        return NULL;
-    }
-    HASH_ADD_KEYPTR(hh, pool->reports, report->group, strlen(report->group),
-                    report);
-    return report;
-}
-
 /* Takes the report of a group in, as the pool home. */
 static void
 take_report(HrControlMaps *maps, const HrPeerFrame *frame)
 {
-    const HrPeerGroupReport *content = &frame->u.group_report;
-    const HrTables *tables =
-        HrSnapshots_Tables(maps->control->task->daemon->snapshots);
-    uint64_t hash = hash_report(frame);
-    GroupReport *report;
-    Pool *pool;
-
-    if (tables == NULL || HrTables_FindPool(tables, content->pool) == NULL) {
-        return;
-    }
-    pool = obtain_pool(maps, content->pool);
-    report = pool != NULL ? obtain_report(pool, content->group) : NULL;
-    if (report == NULL) {
-        return;
+    const char *name = frame->u.group_report.pool;
+    HrTask *task = maps->control->task;
+    const HrTables *tables = HrSnapshots_Tables(task->daemon->snapshots);
+    const HrPool *row =
+        tables != NULL ? HrTables_FindPool(tables, name) : NULL;
+    Pool *pool = row != NULL ? obtain_pool(maps, name) : NULL;
+
+    if (pool != NULL && pool->home == NULL) {
+        pool->home = HrPoolHome_Create(pool, name);
     }
-    report->received_ns = HrLoop_NowNs(maps->control->task->loop);
-    if (report->versions != NULL && report->hash == hash) {
-        return;
+    if (pool != NULL && pool->home != NULL) {
+        HrPoolHome_TakeReport(pool->home, row, frame, HrLoop_NowNs(task->loop),
+                              HrClock_WallMs(task->daemon->clock));
     }
-    talloc_free(report->versions);
-    report->versions = copy_versions(report, content);
-    report->version_count =
-        report->versions != NULL ? content->version_count : 0;
-    report->hash = hash;
-    merge_pool(pool);
 }
 
 /* Returns the pool home; 0 when there is no member. */
@@ -416,6 +205,15 @@
     HrControl_SendFrame(maps->control, home, forward);
 }
 
+/* Returns the maps that this daemon has merged as the home of a pool, or
+ * NULL; pool may be NULL. */
+static const HrIndexMapSet *
+find_home_maps(const Pool *pool)
+{
+    return pool != NULL && pool->home != NULL ? HrPoolHome_Maps(pool->home)
+                                              : NULL;
+}
+
 /* Replies to a daemon that pulls maps. */
 static void
 reply_to_pull(HrControlMaps *maps, const HrMessage *request)
@@ -424,6 +222,7 @@
     HrMessage *message = HrMessage_Create(HR_MESSAGE_PEER_SEND);
     HrPeerFrame *frame = talloc_zero(message, HrPeerFrame);
     HrPeerMapReply *reply;
+    const HrIndexMapSet *set;
     HrIndexMapSet *copy;
     HrIndexMap *list;
     Pool *pool = NULL;
@@ -437,15 +236,17 @@
     frame->kind = HR_PEER_MAP_REPLY;
     reply = &frame->u.map_reply;
     reply->pool = HrMessage_CopyText(message, pull->pool);
-    if (pool != NULL && pool->merged != NULL) {
-        reply->revision = pool->merged->revision;
+    set = find_home_maps(pool);
+    if (set != NULL) {
+        reply->revision = set->revision;
         reply->unchanged = reply->revision == pull->known_revision;
-        copy = copy_set(message, pool->name, pool->merged);
+    }
+    if (set != NULL && !reply->unchanged) {
+        copy = HrIndexMapSet_Copy(message, set);
         list = copy != NULL
                    ? talloc_array(message, HrIndexMap, copy->map_count)
                    : NULL;
-        for (i = 0; list != NULL && !reply->unchanged && i < copy->map_count;
-             i++) {
+        for (i = 0; list != NULL && i < copy->map_count; i++) {
             list[i] = *copy->maps[i];
             reply->map_count++;
         }
@@ -539,10 +340,11 @@
         return;
     }
     if (home == 0 || home == task->daemon->daemon_id) {
-        if (pool->merged != NULL &&
-            (pool->held == NULL ||
-             pool->held->revision != pool->merged->revision)) {
-            hold_set(pool, pool->merged);
+        const HrIndexMapSet *set = find_home_maps(pool);
+
+        if (set != NULL &&
+            (pool->held == NULL || pool->held->revision != set->revision)) {
+            hold_set(pool, set);
         }
         notify_queries(maps, pool->name);
         return;
@@ -556,15 +358,10 @@
     send_pull(pool, home);
 }
 
-/* Empties the hashes before their entries go. */
+/* Empties the hash before its entries go. */
 static int
 destroy_maps(HrControlMaps *maps)
 {
-    Pool *pool;
-
-    for (pool = maps->pools; pool != NULL; pool = pool->hh.next) {
-        HASH_CLEAR(hh, pool->reports);
-    }
     HASH_CLEAR(hh, maps->pools);
     return 0;
 }
--- a/tests/test-daemon-parts.c
+++ b/tests/test-daemon-parts.c
@@ -12,6 +12,7 @@
 #include "base-clock.h"
 #include "base-rng.h"
 #include "daemon-pending.h"
+#include "daemon-control-home.h"
 #include "daemon-placement.h"
 #include "daemon-query-limit.h"
 #include "daemon-snapshot.h"
@@ -262,6 +263,50 @@
     talloc_free(placement);
 }
 
+/* Hands one group's report to a pool home: one shard from from to to. */
+static void
+report_group(HrPoolHome *home, const HrPool *row, const char *group,
+             uint64_t from, uint64_t to, int64_t now_ns)
+{
+    HrShard shard = {group, group, from, to};
+    HrGroupVersion version = {
+        .version = 7, .shards = &shard, .shard_count = 1, .live_servers = 1};
+    HrPeerFrame frame = {.kind = HR_PEER_GROUP_REPORT};
+
+    frame.u.group_report.pool = row->name;
+    frame.u.group_report.group = group;
+    frame.u.group_report.versions = &version;
+    frame.u.group_report.version_count = 1;
+    HrPoolHome_TakeReport(home, row, &frame, now_ns, now_ns / HR_NS_PER_MS);
+}
+
+/* Guards against a pool home that merges a group twice, raises the revision
+ * without a change, or keeps a group that stopped reporting. */
+static void
+test_pool_home_merges_recent_reports(void **state)
+{
+    HrServer servers[4] = {
+        {.group = "a"}, {.group = "b"}, {.group = "a"}, {.group = "b"}};
+    HrPool row = {.name = "pool", .servers = servers, .server_count = 4};
+    HrPoolHome *home = HrPoolHome_Create(NULL, "pool");
+    uint64_t half = UINT64_MAX / 2, revision;
+
+    (void)state;
+    assert_null(HrPoolHome_Maps(home));
+    report_group(home, &row, "a", 0, half, HR_NS_PER_S);
+    assert_int_equal(HrPoolHome_Maps(home)->map_count, 0);
+    report_group(home, &row, "b", half + 1, UINT64_MAX, HR_NS_PER_S);
+    assert_int_equal(HrPoolHome_Maps(home)->map_count, 1);
+    assert_int_equal(HrPoolHome_Maps(home)->maps[0]->shard_count, 2);
+    revision = HrPoolHome_Maps(home)->revision;
+    report_group(home, &row, "b", half + 1, UINT64_MAX, 2 * HR_NS_PER_S);
+    assert_int_equal(HrPoolHome_Maps(home)->revision, revision);
+    report_group(home, &row, "b", half + 2, UINT64_MAX, 30 * HR_NS_PER_S);
+    assert_true(HrPoolHome_Maps(home)->revision > revision);
+    assert_int_equal(HrPoolHome_Maps(home)->map_count, 0);
+    talloc_free(home);
+}
+
 /* A thread that reads member views. */
 typedef struct Reader {
     pthread_t thread;
@@ -341,6 +386,7 @@
         cmocka_unit_test(test_pending_matches_list),
         cmocka_unit_test(test_limit_stays_in_range),
         cmocka_unit_test(test_placement_follows_view_and_tables),
+        cmocka_unit_test(test_pool_home_merges_recent_reports),
         cmocka_unit_test(test_snapshots_live_while_read),
     };
 
