Use the store types of the coordination layer in the daemon

The daemon had neutral copies of the store's calls and results because two public headers defined HrStoreResult differently; they no longer do, so the copies and three conversions go. The report of a task's load stood twice and is now one function. Behaviour is unchanged; the demo passes.

--- a/src/daemon-control-claim.c
+++ b/src/daemon-control-claim.c
@@ -37,7 +37,7 @@
     HrControlClaims *claims;
     uint32_t partition;
     uint64_t call;
-    bool is_put;
+    bool is_write;
 } Call;
 
 static void handle_owner(HrControlClaims *claims, HrClaimOwnerEvent *event);
@@ -45,39 +45,38 @@
 
 /* Returns the result of a call as the owner names it. */
 static HrClaimStoreResult
-convert_end(const Call *call, const HrStoreEnd *end)
+convert_result(const Call *call, HrStoreResult result)
 {
-    switch (end->kind) {
-    case HR_STORE_END_VALUE:
-        return call->is_put ? HR_CLAIM_STORE_WRITTEN : HR_CLAIM_STORE_FOUND;
-    case HR_STORE_END_ABSENT:
+    switch (result) {
+    case HR_STORE_VALUE:
+        return call->is_write ? HR_CLAIM_STORE_WRITTEN : HR_CLAIM_STORE_FOUND;
+    case HR_STORE_ABSENT:
         return HR_CLAIM_STORE_ABSENT;
-    case HR_STORE_END_MISMATCH:
+    case HR_STORE_MISMATCH:
         return HR_CLAIM_STORE_MISMATCH;
-    case HR_STORE_END_SAME:
-    case HR_STORE_END_NOT_DONE:
+    case HR_STORE_SAME:
+    case HR_STORE_NOT_DONE:
         return HR_CLAIM_STORE_FAILED;
-    case HR_STORE_END_LOST:
-        return call->is_put ? HR_CLAIM_STORE_UNKNOWN : HR_CLAIM_STORE_FAILED;
+    case HR_STORE_LOST:
+        return call->is_write ? HR_CLAIM_STORE_UNKNOWN : HR_CLAIM_STORE_FAILED;
     }
     return HR_CLAIM_STORE_UNKNOWN;
 }
 
 /* Hands the end of a store call to the owner. */
 static void
-handle_store_end(void *arg, uint64_t number, const HrStoreEnd *end)
+handle_store_reply(void *arg, const HrStoreReply *reply)
 {
     Call *call = arg;
     HrClaimOwnerEvent event = {.kind = HR_CLAIM_OWNER_EVENT_STORE};
     HrClaimValue *value = NULL;
 
-    (void)number;
     event.u.store.partition = call->partition;
     event.u.store.call = call->call;
-    event.u.store.result = convert_end(call, end);
-    event.u.store.revision = end->revision;
+    event.u.store.result = convert_result(call, reply->result);
+    event.u.store.revision = reply->revision;
     if (event.u.store.result == HR_CLAIM_STORE_FOUND &&
-        HrClaimValue_Decode(call, end->value, &value, NULL) == HR_OK) {
+        HrClaimValue_Decode(call, reply->value, &value, NULL) == HR_OK) {
         event.u.store.value = value;
     }
     handle_owner(call->claims, &event);
@@ -91,8 +90,9 @@
     HrControl *control = claims->control;
     uint32_t timeout_ms = control->task->daemon->settings->store_timeout_ms;
     Call *call = talloc_zero(claims, Call);
-    HrStoreGet get = {.key = action->u.store.key, .timeout_ms = timeout_ms};
-    HrStorePut put = {.key = action->u.store.key, .timeout_ms = timeout_ms};
+    HrStoreRead read = {.key = action->u.store.key, .timeout_ms = timeout_ms};
+    HrStoreWrite write = {.key = action->u.store.key,
+                          .timeout_ms = timeout_ms};
 
     if (call == NULL) {
         return; /* the owner's timer repeats it */
@@ -100,15 +100,15 @@
     call->claims = claims;
     call->partition = action->u.store.partition;
     call->call = action->u.store.call;
-    call->is_put = action->kind == HR_CLAIM_OWNER_ACTION_PUT;
-    if (!call->is_put) {
-        HrStoreClient_Get(control->store, &get, 0, handle_store_end, call);
+    call->is_write = action->kind == HR_CLAIM_OWNER_ACTION_PUT;
+    if (!call->is_write) {
+        HrStoreClient_Read(control->store, &read, handle_store_reply, call);
         return;
     }
-    put.expected_revision = action->u.store.cas_revision;
+    write.expected_revision = action->u.store.cas_revision;
     /* A value that cannot be encoded stays empty, and the write fails. */
-    HrClaimValue_Encode(call, action->u.store.value, &put.value, NULL);
-    HrStoreClient_Put(control->store, &put, 0, handle_store_end, call);
+    HrClaimValue_Encode(call, action->u.store.value, &write.value, NULL);
+    HrStoreClient_Write(control->store, &write, handle_store_reply, call);
 }
 
 /* Gives a message to the side of this daemon that it is for. */
--- a/src/daemon-control-config.c
+++ b/src/daemon-control-config.c
@@ -15,39 +15,14 @@
 
 /* Hands the end of a store call to the module. */
 static void
-handle_store_end(void *arg, uint64_t number, const HrStoreEnd *end)
+handle_store_reply(void *arg, const HrStoreReply *reply)
 {
-    static const HrStoreResult results[] = {
-        [HR_STORE_END_VALUE] = HR_STORE_VALUE,
-        [HR_STORE_END_ABSENT] = HR_STORE_ABSENT,
-        [HR_STORE_END_SAME] = HR_STORE_SAME,
-        [HR_STORE_END_MISMATCH] = HR_STORE_MISMATCH,
-        [HR_STORE_END_NOT_DONE] = HR_STORE_NOT_DONE,
-        [HR_STORE_END_LOST] = HR_STORE_LOST,
-    };
-    HrConfigEvent event = {.type = HR_CONFIG_EVENT_STORE_REPLY};
+    HrConfigEvent event = {.type = HR_CONFIG_EVENT_STORE_REPLY,
+                           .u.store_reply = *reply};
 
-    event.u.store_reply.request_id = number;
-    event.u.store_reply.result = results[end->kind];
-    event.u.store_reply.revision = end->revision;
-    event.u.store_reply.value = end->value;
     handle_event(arg, &event);
 }
 
-/* Reads or watches the store. */
-static void
-read_store(HrControlConfig *config, const HrStoreRead *read)
-{
-    HrStoreGet get = {.key = read->key,
-                      .watch = read->watch,
-                      .watch_revision = read->watch_revision,
-                      .wait_ms = read->wait_ms,
-                      .timeout_ms = read->timeout_ms};
-
-    HrStoreClient_Get(config->control->store, &get, read->request_id,
-                      handle_store_end, config);
-}
-
 /* Sends a message to another daemon. */
 static void
 send_message(HrControlConfig *config, uint64_t to_id,
@@ -106,7 +81,8 @@
     while (HrConfig_Next(config->config, &action)) {
         switch (action.type) {
         case HR_CONFIG_ACTION_READ:
-            read_store(config, &action.u.read);
+            HrStoreClient_Read(config->control->store, &action.u.read,
+                               handle_store_reply, config);
             break;
         case HR_CONFIG_ACTION_SEND:
             send_message(config, action.u.send.to_id, &action.u.send.message);
--- a/src/daemon-control-edit.c
+++ b/src/daemon-control-edit.c
@@ -89,22 +89,11 @@
 
 /* Hands the end of a store call to the edit. */
 static void
-handle_store_end(void *arg, uint64_t number, const HrStoreEnd *end)
+handle_store_reply(void *arg, const HrStoreReply *reply)
 {
-    static const HrStoreResult results[] = {
-        [HR_STORE_END_VALUE] = HR_STORE_VALUE,
-        [HR_STORE_END_ABSENT] = HR_STORE_ABSENT,
-        [HR_STORE_END_SAME] = HR_STORE_SAME,
-        [HR_STORE_END_MISMATCH] = HR_STORE_MISMATCH,
-        [HR_STORE_END_NOT_DONE] = HR_STORE_NOT_DONE,
-        [HR_STORE_END_LOST] = HR_STORE_LOST,
-    };
-    HrEditEvent event = {.type = HR_EDIT_EVENT_STORE_REPLY};
+    HrEditEvent event = {.type = HR_EDIT_EVENT_STORE_REPLY,
+                         .u.store_reply = *reply};
 
-    event.u.store_reply.request_id = number;
-    event.u.store_reply.result = results[end->kind];
-    event.u.store_reply.revision = end->revision;
-    event.u.store_reply.value = end->value;
     handle_event(arg, &event);
 }
 
@@ -113,24 +102,13 @@
 perform_action(Edit *edit, const HrEditAction *action)
 {
     HrStoreClient *store = edit->owner->control->store;
-    HrStoreGet get = {.key = action->u.read.key};
-    HrStorePut put = {.key = action->u.write.key};
 
     switch (action->type) {
     case HR_EDIT_ACTION_READ:
-        get.watch = action->u.read.watch;
-        get.watch_revision = action->u.read.watch_revision;
-        get.wait_ms = action->u.read.wait_ms;
-        get.timeout_ms = action->u.read.timeout_ms;
-        HrStoreClient_Get(store, &get, action->u.read.request_id,
-                          handle_store_end, edit);
+        HrStoreClient_Read(store, &action->u.read, handle_store_reply, edit);
         break;
     case HR_EDIT_ACTION_WRITE:
-        put.expected_revision = action->u.write.expected_revision;
-        put.value = action->u.write.value;
-        put.timeout_ms = action->u.write.timeout_ms;
-        HrStoreClient_Put(store, &put, action->u.write.request_id,
-                          handle_store_end, edit);
+        HrStoreClient_Write(store, &action->u.write, handle_store_reply, edit);
         break;
     case HR_EDIT_ACTION_DONE:
         finish_edit(edit, &action->u.done);
--- a/src/daemon-query.c
+++ b/src/daemon-query.c
@@ -49,32 +49,14 @@
     drain_admission(state);
 }
 
-/* Returns the number of open queries as reported to the control task. */
-static void
-report_load(HrQueryTask *state)
-{
-    uint32_t open = HASH_COUNT(state->queries);
-    HrMessage *message;
-
-    if (open == state->reported_open) {
-        return;
-    }
-    state->reported_open = open;
-    message = HrMessage_Create(HR_MESSAGE_LOAD);
-    if (message != NULL) {
-        message->u.load.task = state->task;
-        message->u.load.open = open;
-    }
-    HrTask_Post(state->task, state->task->daemon->control, message);
-}
-
 /* Reports the load once a second. */
 static void
 fire_load(void *arg)
 {
     HrQueryTask *state = arg;
 
-    report_load(state);
+    HrTask_ReportOpen(state->task, HASH_COUNT(state->queries),
+                      &state->reported_open);
     HrLoop_SetTimer(state->task->loop, state->load_timer,
                     HrLoop_NowNs(state->task->loop) + LOAD_INTERVAL_NS);
 }
@@ -457,7 +439,8 @@
         break;
     }
     if (state->refusing) {
-        report_load(state);
+        HrTask_ReportOpen(state->task, HASH_COUNT(state->queries),
+                          &state->reported_open);
     }
     talloc_free(message);
 }
--- a/src/daemon-sched.c
+++ b/src/daemon-sched.c
@@ -228,25 +228,6 @@
     return open;
 }
 
-/* Tells the control task how much work is open. */
-static void
-report_load(SchedTask *state)
-{
-    HrMessage *message;
-    uint32_t open = count_open(state);
-
-    if (open == state->reported_open) {
-        return;
-    }
-    state->reported_open = open;
-    message = HrMessage_Create(HR_MESSAGE_LOAD);
-    if (message != NULL) {
-        message->u.load.task = state->task;
-        message->u.load.open = open;
-    }
-    HrTask_Post(state->task, state->task->daemon->control, message);
-}
-
 /* Frees what is no longer needed, once a second. */
 static void
 fire_sweep(void *arg)
@@ -255,7 +236,7 @@
 
     update_groups(state);
     free_idle(state);
-    report_load(state);
+    HrTask_ReportOpen(state->task, count_open(state), &state->reported_open);
     HrLoop_SetTimer(state->task->loop, state->sweep_timer,
                     HrLoop_NowNs(state->task->loop) + SWEEP_NS);
 }
--- a/src/daemon-store.c
+++ b/src/daemon-store.c
@@ -24,8 +24,8 @@
 };
 
 typedef enum CallKind {
-    CALL_GET,
-    CALL_PUT,
+    CALL_READ,
+    CALL_WRITE,
     CALL_VMS,
 } CallKind;
 
@@ -34,31 +34,13 @@
     struct Call *next;
     HrStoreClient *client;
     CallKind kind;
-    uint64_t number;
-    HrStoreEndFn *fn;
+    HrStoreReplyFn *fn;
     HrStoreVmsFn *vms_fn;
     void *arg;
     HrStoreRead read;
     HrStoreWrite write;
 } Call;
 
-/* Converts the result of the adapter. */
-static HrStoreEnd
-convert_reply(const HrStoreReply *reply)
-{
-    static const HrStoreEndKind kinds[] = {
-        [HR_STORE_VALUE] = HR_STORE_END_VALUE,
-        [HR_STORE_ABSENT] = HR_STORE_END_ABSENT,
-        [HR_STORE_SAME] = HR_STORE_END_SAME,
-        [HR_STORE_MISMATCH] = HR_STORE_END_MISMATCH,
-        [HR_STORE_NOT_DONE] = HR_STORE_END_NOT_DONE,
-        [HR_STORE_LOST] = HR_STORE_END_LOST,
-    };
-    HrStoreEnd end = {kinds[reply->result], reply->revision, reply->value};
-
-    return end;
-}
-
 /* Hands the VM list on. */
 static void
 deliver_vms(const Call *call, const HrStoreHttpReply *http)
@@ -86,23 +68,21 @@
 end_call(Call *call, const HrStoreHttpReply *http)
 {
     HrStoreReply reply;
-    HrStoreEnd end;
 
     if (call->kind == CALL_VMS) {
         deliver_vms(call, http);
         talloc_free(call);
         return;
     }
-    reply = call->kind == CALL_GET
+    reply = call->kind == CALL_READ
                 ? HrStoreHttp_ReadReply(&call->read, http)
                 : HrStoreHttp_WriteReply(&call->write, http);
-    end = convert_reply(&reply);
     call->client->up =
-        end.kind != HR_STORE_END_LOST && end.kind != HR_STORE_END_NOT_DONE;
+        reply.result != HR_STORE_LOST && reply.result != HR_STORE_NOT_DONE;
     if (call->client->up) {
         call->client->answered_ns = HrLoop_NowNs(call->client->loop);
     }
-    call->fn(call->arg, call->number, &end);
+    call->fn(call->arg, &reply);
     talloc_free(call);
 }
 
@@ -201,7 +181,7 @@
     http.body = store->body;
     http.timeout_ns = store->timeout_ms * HR_NS_PER_MS;
     http.connect_timeout_ns = http.timeout_ns;
-    http.fresh_connection = call->kind == CALL_PUT;
+    http.fresh_connection = call->kind == CALL_WRITE;
     if (HrHttpClient_Start(client->http, &http, handle_answer, call) == NULL) {
         defer_failure(call);
     }
@@ -209,14 +189,13 @@
 
 /* Creates a call. */
 static Call *
-create_call(HrStoreClient *client, CallKind kind, uint64_t number, void *arg)
+create_call(HrStoreClient *client, CallKind kind, void *arg)
 {
     Call *call = talloc_zero(client, Call);
 
     if (call != NULL) {
         call->client = client;
         call->kind = kind;
-        call->number = number;
         call->arg = arg;
     }
     return call;
@@ -224,22 +203,18 @@
 
 /* Starts a read or a watch. */
 void
-HrStoreClient_Get(HrStoreClient *client, const HrStoreGet *get,
-                  uint64_t number, HrStoreEndFn *fn, void *arg)
+HrStoreClient_Read(HrStoreClient *client, const HrStoreRead *read,
+                   HrStoreReplyFn *fn, void *arg)
 {
-    Call *call = create_call(client, CALL_GET, number, arg);
+    Call *call = create_call(client, CALL_READ, arg);
     HrStoreHttpRequest request;
 
     if (call == NULL) {
         return;
     }
     call->fn = fn;
-    call->read.request_id = number;
-    call->read.key = talloc_strdup(call, get->key);
-    call->read.watch = get->watch;
-    call->read.watch_revision = get->watch_revision;
-    call->read.wait_ms = get->wait_ms;
-    call->read.timeout_ms = get->timeout_ms;
+    call->read = *read;
+    call->read.key = talloc_strdup(call, read->key);
     if (HrStoreHttp_Read(call, &call->read, &request) != HR_OK) {
         defer_failure(call);
         return;
@@ -249,22 +224,19 @@
 
 /* Starts a compare-and-swap. */
 void
-HrStoreClient_Put(HrStoreClient *client, const HrStorePut *put,
-                  uint64_t number, HrStoreEndFn *fn, void *arg)
+HrStoreClient_Write(HrStoreClient *client, const HrStoreWrite *write,
+                    HrStoreReplyFn *fn, void *arg)
 {
-    Call *call = create_call(client, CALL_PUT, number, arg);
+    Call *call = create_call(client, CALL_WRITE, arg);
     HrStoreHttpRequest request;
 
     if (call == NULL) {
         return;
     }
     call->fn = fn;
-    call->write.request_id = number;
-    call->write.key = talloc_strdup(call, put->key);
-    call->write.expected_revision = put->expected_revision;
-    call->write.value = put->value;
-    call->write.timeout_ms = put->timeout_ms;
-    if (put->value.data == NULL ||
+    call->write = *write;
+    call->write.key = talloc_strdup(call, write->key);
+    if (write->value.data == NULL ||
         HrStoreHttp_Write(call, &call->write, &request) != HR_OK) {
         defer_failure(call);
         return;
@@ -276,7 +248,7 @@
 void
 HrStoreClient_ListVms(HrStoreClient *client, HrStoreVmsFn *fn, void *arg)
 {
-    Call *call = create_call(client, CALL_VMS, 0, arg);
+    Call *call = create_call(client, CALL_VMS, arg);
     HrStoreHttpRequest request;
 
     if (call == NULL) {
--- a/src/daemon-task.c
+++ b/src/daemon-task.c
@@ -178,3 +178,21 @@
 {
     return daemon->query[query->counter % daemon->query_count];
 }
+
+/* Tells the control task how much a task has open, when that has changed. */
+void
+HrTask_ReportOpen(HrTask *task, uint32_t open, uint32_t *reported_open)
+{
+    HrMessage *message;
+
+    if (open == *reported_open) {
+        return;
+    }
+    *reported_open = open;
+    message = HrMessage_Create(HR_MESSAGE_LOAD);
+    if (message != NULL) {
+        message->u.load.task = task;
+        message->u.load.open = open;
+    }
+    HrTask_Post(task, task->daemon->control, message);
+}
--- a/src/daemon-task.h
+++ b/src/daemon-task.h
@@ -83,4 +83,8 @@
 /* Returns the query task that owns a query of this daemon. */
 HrTask *HrDaemon_QueryTask(const HrDaemon *daemon, const HrQueryId *query);
 
+/* Tells the control task how much a task has open, when that differs from
+ * *reported_open, which it then brings up to date. */
+void HrTask_ReportOpen(HrTask *task, uint32_t open, uint32_t *reported_open);
+
 #endif
