Halve the questions that a pool home gets

Computed for docs/CAPACITY.md: 100 questions and replies of 60 to 80 bytes a second are about 13 KB/s at the home of a pool that every daemon uses, which with 11 KB/s of other control traffic exceeds 18 KB/s. 50 a second are about 7 KB/s.

--- a/src/daemon-query-maps.c
+++ b/src/daemon-query-maps.c
@@ -4,11 +4,11 @@
 #include "daemon-query-state.h"
 
 /* Entry daemons check the maps of a pool with its home this often, or this
- * often for each member if that is more: the home then gets at most 100
+ * often for each member if that is more: the home then gets at most 50
  * questions a second, however many daemons there are. A map that is out of
  * date costs one pull, when a server does not hold its version any more. */
 #define CACHE_NS (2 * HR_NS_PER_S)
-#define CACHE_PER_MEMBER_NS (10 * HR_NS_PER_MS)
+#define CACHE_PER_MEMBER_NS (20 * HR_NS_PER_MS)
 /* An unanswered question is repeated after this. */
 #define ASK_INTERVAL_NS (250 * HR_NS_PER_MS)
 
