Accept batches whose deadline passed long ago

Cause: on a machine that has been up for more than an hour, a batch whose deadline was an hour or more ago was encoded with a time left that the receiver takes for malformed, and the link was closed. test-trans-peer and bench-peer, which send deadline 0, then waited for ever; in the daemon a process paused for an hour would lose its links.

Change: the encoder limits the time left to what the decoder accepts. Before: the new test of test-peer-codec fails, test-trans-peer hangs.

--- a/src/proto-peer-codec.h
+++ b/src/proto-peer-codec.h
@@ -7,6 +7,9 @@
 #include "coord-types.h"
 #include "state-index-map.h"
 
+/* A time to the deadline outside of plus or minus this is malformed. */
+#define HR_PEER_DEADLINE_LEFT_MAX_US (INT64_C(3600) * 1000000)
+
 #define HR_PEER_PROTOCOL 1
 #define HR_PEER_PREFIX_BYTES 4
 #define HR_PEER_FRAME_MAX_BYTES 8388608u
--- a/src/proto-peer-decode.c
+++ b/src/proto-peer-decode.c
@@ -12,8 +12,6 @@
 #define PRIORITY_MAX 7
 #define TEXT_MAX_BYTES 255
 #define ENTRIES_MAX (1u << 20)
-/* A deadline further away than this is malformed. */
-#define DEADLINE_LEFT_MAX_US (INT64_C(3600) * 1000000)
 
 /* Memory that one frame may still take. */
 typedef struct Budget {
@@ -92,8 +90,8 @@
 {
     if (wire->priority > PRIORITY_MAX || !is_name(wire->pool) ||
         !is_name(wire->caller) ||
-        wire->deadline_left_us > DEADLINE_LEFT_MAX_US ||
-        wire->deadline_left_us < -DEADLINE_LEFT_MAX_US) {
+        wire->deadline_left_us > HR_PEER_DEADLINE_LEFT_MAX_US ||
+        wire->deadline_left_us < -HR_PEER_DEADLINE_LEFT_MAX_US) {
         return HR_ERR_PROTOCOL;
     }
     shared->deadline_ns = now_ns + wire->deadline_left_us * HR_NS_PER_US;
--- a/src/proto-peer-encode.c
+++ b/src/proto-peer-encode.c
@@ -117,6 +117,21 @@
     return HR_OK;
 }
 
+/* Returns the time left in microseconds, within what a receiver accepts: after
+ * a pause of the process a deadline may have passed long ago. */
+static int64_t
+limit_time_left(int64_t left_ns)
+{
+    int64_t left_us = left_ns / HR_NS_PER_US;
+
+    if (left_us > HR_PEER_DEADLINE_LEFT_MAX_US) {
+        return HR_PEER_DEADLINE_LEFT_MAX_US;
+    }
+    return left_us < -HR_PEER_DEADLINE_LEFT_MAX_US
+               ? -HR_PEER_DEADLINE_LEFT_MAX_US
+               : left_us;
+}
+
 /* Encodes a batch; the fields that the sub-requests share come from the
  * first. */
 static int
@@ -131,7 +146,7 @@
     }
     wire__sub_batch__init(body);
     body->query = wire_query(parent, &first->query);
-    body->deadline_left_us = (first->deadline_ns - now_ns) / HR_NS_PER_US;
+    body->deadline_left_us = limit_time_left(first->deadline_ns - now_ns);
     body->priority = first->priority;
     body->pool = wire_text(first->pool);
     body->version = first->version;
--- a/tests/test-peer-codec.c
+++ b/tests/test-peer-codec.c
@@ -234,6 +234,30 @@
                      HR_ERR_PROTOCOL);
 }
 
+/* Guards against a batch whose deadline passed hours ago, as after a pause of
+ * the process: the receiver took it for malformed and closed the link. */
+static void
+test_passed_deadline_is_accepted(void **state)
+{
+    HrSubRequest request = {.pool = "pool", .group = "g", .shard = "s"};
+    HrPeerFrame frame = {.kind = HR_PEER_SUB_BATCH}, *decoded;
+    int64_t now_ns = 5 * 3600 * HR_NS_PER_S;
+    HrBytes bytes;
+
+    (void)state;
+    request.deadline_ns = HR_NS_PER_S;
+    frame.u.sub_batch.requests = &request;
+    frame.u.sub_batch.request_count = 1;
+    assert_int_equal(HrPeerFrame_Encode(NULL, &frame, now_ns, &bytes), HR_OK);
+    bytes.data += HR_PEER_PREFIX_BYTES;
+    bytes.length_bytes -= HR_PEER_PREFIX_BYTES;
+    decoded = HrPeerFrame_Decode(NULL, bytes, now_ns, NULL);
+    assert_non_null(decoded);
+    assert_true(decoded->u.sub_batch.requests[0].deadline_ns < now_ns);
+    talloc_free(decoded);
+    talloc_free((void *)(bytes.data - HR_PEER_PREFIX_BYTES));
+}
+
 int
 main(void)
 {
@@ -242,6 +266,7 @@
         cmocka_unit_test(test_damaged_frames),
         cmocka_unit_test(test_memory_is_bounded),
         cmocka_unit_test(test_false_lengths),
+        cmocka_unit_test(test_passed_deadline_is_accepted),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
