--- a/tests/test-peer-codec.c
+++ b/tests/test-peer-codec.c
@@ -241,7 +241,7 @@
 {
     HrSubRequest request = {.pool = "pool", .group = "g", .shard = "s"};
     HrPeerFrame frame = {.kind = HR_PEER_SUB_BATCH}, *decoded;
-    int64_t now_ns = 5 * 3600 * HR_NS_PER_S;
+    int64_t now_ns = 18000 * HR_NS_PER_S;
     HrBytes bytes;
 
     (void)state;
