--- a/tests/test-daemon-parts.c
+++ b/tests/test-daemon-parts.c
@@ -269,10 +269,13 @@
              uint64_t from, uint64_t to, int64_t now_ns)
 {
     HrShard shard = {group, group, from, to};
-    HrGroupVersion version = {
-        .version = 7, .shards = &shard, .shard_count = 1, .live_servers = 1};
+    HrGroupVersion version;
     HrPeerFrame frame = {.kind = HR_PEER_GROUP_REPORT};
 
+    version.version = 7;
+    version.shards = &shard;
+    version.shard_count = 1;
+    version.live_servers = 1;
     frame.u.group_report.pool = row->name;
     frame.u.group_report.group = group;
     frame.u.group_report.versions = &version;
