Set up the parent of a test in one place

Three test programs had the same set-up and tear-down of a talloc parent; they now share tests/common-parent.c.

--- a/tests/test-claim-holder.c
+++ b/tests/test-claim-holder.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "common-parent.h"
 #include "coord-claim.h"
 
 #define WALL_MS INT64_C(1700000000000)
@@ -311,22 +312,8 @@
     expect_refusal(rig, HR_REASON_OVERLOADED, false);
 }
 
-static int
-create_parent(void **state)
-{
-    *state = talloc_new(NULL);
-    return 0;
-}
-
-static int
-free_parent(void **state)
-{
-    talloc_free(*state);
-    return 0;
-}
-
 #define TEST(name)                                                            \
-    cmocka_unit_test_setup_teardown(name, create_parent, free_parent)
+    cmocka_unit_test_setup_teardown(name, TestParent_Create, TestParent_Free)
 
 int
 main(void)
--- a/tests/test-claim-owner.c
+++ b/tests/test-claim-owner.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "common-parent.h"
 #include "coord-claim-value.h"
 
 #define WALL_MS INT64_C(1700000000000)
@@ -529,22 +530,8 @@
     expect(rig, HR_CLAIM_OWNER_ACTION_GET);
 }
 
-static int
-create_parent(void **state)
-{
-    *state = talloc_new(NULL);
-    return 0;
-}
-
-static int
-free_parent(void **state)
-{
-    talloc_free(*state);
-    return 0;
-}
-
 #define TEST(name)                                                            \
-    cmocka_unit_test_setup_teardown(name, create_parent, free_parent)
+    cmocka_unit_test_setup_teardown(name, TestParent_Create, TestParent_Free)
 
 int
 main(void)
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "common-parent.h"
 #include "coord-member.h"
 
 #define SECOND HR_NS_PER_S
@@ -568,22 +569,8 @@
     assert_true(asks_for_list(rig, 77, 1));
 }
 
-static int
-create_parent(void **state)
-{
-    *state = talloc_new(NULL);
-    return 0;
-}
-
-static int
-free_parent(void **state)
-{
-    talloc_free(*state);
-    return 0;
-}
-
 #define TEST(name)                                                            \
-    cmocka_unit_test_setup_teardown(name, create_parent, free_parent)
+    cmocka_unit_test_setup_teardown(name, TestParent_Create, TestParent_Free)
 
 int
 main(void)
