Let one gateway wait for routes in short steps

Cause: both gateways that wait for routes may have their connections to the store silenced by something that goes on acknowledging. TCP does not notice, and the wait lasted up to 25 s, so a new version was not in force within 3 s. Ruled out: a timeout of another store call as the signal. The list of servers is read on another connection, which may be sound, and its answer says nothing of the routes.

The gateway of the lowest rank now lets its watch wait for 1.3 s and gives it up 1 s later; the second one keeps 25 s and takes the short waits over when the first one is gone. This adds 0.7 store calls a second for the whole fleet.

--- a/src/daemon-gateway-feed-int.h
+++ b/src/daemon-gateway-feed-int.h
@@ -22,7 +22,8 @@
     HrLoopTimer *timer;      /* starts the next call */
     uint64_t after_revision; /* 0: read, then wait for changes */
     int64_t retry_ns;
-    bool waiting; /* a wait for changes is under way */
+    uint32_t wait_ms; /* of the wait for changes that is under way */
+    bool waiting;     /* a wait for changes is under way */
 } HrRoutesFeed;
 
 /* Reads the list of servers. */
--- a/src/daemon-gateway-feed.c
+++ b/src/daemon-gateway-feed.c
@@ -14,9 +14,16 @@
 /* This many daemons wait for new routes at the store and tell the others. */
 #define ROUTE_WATCHERS 2
 
-/* A watch is answered without a change after this time. A connection that
- * goes silent is found by its probes, so the wait can be long. */
-#define WATCH_WAIT_MS 25000
+/* A watch is answered without a change after this time. One watcher waits for
+ * a short time only: behind something that acknowledges for the store, only a
+ * missing answer shows that a connection went silent. A change is due in force
+ * 3 s after the store has taken it, which leaves time to ask once more. */
+#define WATCH_WAIT_SHORT_MS 1300
+#define WATCH_WAIT_LONG_MS 25000
+
+/* A watch that is answered this much later than asked for is given up. The
+ * store answers in half a second when it is slow. */
+#define WATCH_LATE_NS (1000 * HR_NS_PER_MS)
 
 /* A read that takes longer than this and is overtaken by another daemon's
  * list counts as failed. */
@@ -82,6 +89,15 @@
            !HrVmSet_RoutesWatched(gateway->vms, HrGatewayFeed_Now(feed));
 }
 
+/* Returns how long this daemon lets the store wait for a change. */
+static uint32_t
+watch_wait_ms(const HrGatewayFeed *feed)
+{
+    return HrVmSet_ReaderRank(feed->gateway->vms, HrGatewayFeed_Now(feed)) == 0
+               ? WATCH_WAIT_SHORT_MS
+               : WATCH_WAIT_LONG_MS;
+}
+
 /* Makes the next call about the routes. */
 static void
 run_routes(void *arg)
@@ -95,11 +111,12 @@
     }
     routes->waiting = routes->after_revision > 0;
     if (routes->waiting) {
+        routes->wait_ms = watch_wait_ms(feed);
         HrStoreCall_Watch(call, HR_PLATFORM_TABLE_PREFIX,
-                          routes->after_revision, WATCH_WAIT_MS);
+                          routes->after_revision, routes->wait_ms);
         HrGatewayFeed_StartCall(feed, routes->caller,
-                                WATCH_WAIT_MS * HR_NS_PER_MS +
-                                    CALL_TIMEOUT_NS);
+                                routes->wait_ms * HR_NS_PER_MS +
+                                    WATCH_LATE_NS);
         return;
     }
     HrStoreCall_Get(call, HR_PLATFORM_TABLE_KEY);
@@ -416,6 +433,12 @@
         routes->after_revision = 0;
         routes->waiting = false;
     }
+    else if (HrStoreCaller_IsBusy(routes->caller) && routes->waiting &&
+             watch_wait_ms(feed) < routes->wait_ms) {
+        /* The one that waited for a short time is gone. */
+        HrStoreCaller_Cancel(routes->caller);
+        run_routes(feed);
+    }
     else if (!HrStoreCaller_IsBusy(routes->caller) && routes->retry_ns == 0 &&
              feed->gateway->table != NULL) {
         run_routes(feed);
--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -1,4 +1,5 @@
 #include <setjmp.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -16,44 +17,92 @@
 #define APPLY_MS 3000
 #define SETTLE_MS 1500
 
-/* Guards against routes that do not come into force because the connections
- * on which the gateways wait for them went silent while new ones work: behind
- * a relay that acknowledges, TCP does not notice. Seen with test-process-soak,
- * seed 145: both gateways that wait for routes were cut off so. */
+/* Starts a site whose gateways reach the store by relays, and waits until they
+ * have settled who waits for routes. */
 static void
-test_routes_despite_silent_links(void **state)
+start_site(TestSite *site, TestRelay *relays[GATEWAYS])
 {
-    TestRelay *relays[GATEWAYS];
-    int status = 0;
-    int64_t end_ms;
-    TestSite site;
     uint32_t i;
 
-    (void)state;
-    TestSite_Prepare(&site, GATEWAYS, SERVICES, REPLICAS);
+    TestSite_Prepare(site, GATEWAYS, SERVICES, REPLICAS);
     for (i = 0; i < GATEWAYS; i++) {
-        relays[i] = TestRelay_Start(site.store_port);
-        site.gateways[i].store_port = TestRelay_Port(relays[i]);
-        TestSite_StartGateway(&site, i);
+        relays[i] = TestRelay_Start(site->store_port);
+        site->gateways[i].store_port = TestRelay_Port(relays[i]);
+        TestSite_StartGateway(site, i);
     }
     for (i = 0; i < GATEWAYS; i++) {
-        TestSite_WaitReady(&site, i);
+        TestSite_WaitReady(site, i);
     }
     TestClock_SleepMs(SETTLE_MS);
-    for (i = 0; i < GATEWAYS; i++) {
-        TestRelay_Silence(relays[i]);
-    }
-    TestSite_Control(&site, "/test/routes?mode=extra", "version");
+}
+
+/* Adds a route in the store and returns the status that a gateway gives on it
+ * at the latest when the version has to be in force. */
+static int
+add_route(const TestSite *site, uint32_t index)
+{
+    int64_t end_ms;
+    int status = 0;
+
+    TestSite_Control(site, "/test/routes?mode=extra", "version");
     end_ms = TestClock_WallMs() + APPLY_MS;
     while (status != 200 && TestClock_WallMs() < end_ms) {
         TestClock_SleepMs(50);
-        status =
-            TestSite_Send(&site, 0, "GET", "/extra/x", "probe", "", "").status;
+        status = TestSite_Send(site, index, "GET", "/extra/x", "probe", "", "")
+                     .status;
     }
-    TestSite_Stop(&site);
+    return status;
+}
+
+/* Ends a site and its relays. */
+static void
+stop_site(TestSite *site, TestRelay *relays[GATEWAYS])
+{
+    uint32_t i;
+
+    TestSite_Stop(site);
     for (i = 0; i < GATEWAYS; i++) {
         TestRelay_Stop(relays[i]);
     }
+}
+
+/* Guards against routes that do not come into force because the connections
+ * on which the gateways wait for them went silent while new ones work: behind
+ * a relay that acknowledges, TCP does not notice. Seen with test-process-soak,
+ * seed 145: both gateways that wait for routes were cut off so. */
+static void
+test_routes_despite_silent_links(void **state)
+{
+    TestRelay *relays[GATEWAYS];
+    TestSite site;
+    uint32_t i;
+    int status;
+
+    (void)state;
+    start_site(&site, relays);
+    for (i = 0; i < GATEWAYS; i++) {
+        TestRelay_Silence(relays[i]);
+    }
+    status = add_route(&site, 0);
+    stop_site(&site, relays);
+    assert_int_equal(status, 200);
+}
+
+/* Guards against the same when the gateway that would notice the silence is
+ * killed, so that the other one has to take over its short waits. */
+static void
+test_routes_after_first_watcher_died(void **state)
+{
+    TestRelay *relays[GATEWAYS];
+    TestSite site;
+    int status;
+
+    (void)state;
+    start_site(&site, relays);
+    TestRelay_Silence(relays[1]);
+    TestSite_EndGateway(&site, 0, SIGKILL);
+    status = add_route(&site, 1);
+    stop_site(&site, relays);
     assert_int_equal(status, 200);
 }
 
@@ -62,6 +111,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_routes_despite_silent_links),
+        cmocka_unit_test(test_routes_after_first_watcher_died),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
