Let the share of the slack of repeats grow from nothing

Cause: a restarted daemon does not know what the process before it spent on repeats. Its share of the slack began at 0.15, so daemons restarted several times a second exceeded the limit together (test-repeat test_restarts_in_quick_succession, known red). The share now grows from 0 to 0.25 within a window of the start and is 0.75 afterwards. Processes that start within a window of each other add up to 0.25 at most, beside the 0.75 of the one that ran before, so the sum never exceeds the slack.

Before: test red. After: green, also with chances of 0.2 and 0.5 an event.

--- a/src/coord-repeat.c
+++ b/src/coord-repeat.c
@@ -4,12 +4,15 @@
  * counted here do not begin at the same moment. */
 #define RATIO_SHARE 0.85
 
-/* Share of the slack that is used. A restarted process does not know what it
- * spent before: within a window of its start its share grows from a smaller
- * one, so that two restarts in any window fit beside the part of the ratio
- * that is not used. */
-#define SLACK_SHARE 0.45
-#define SLACK_FRESH_SHARE 0.15
+/* Share of the slack that is used once a process has run for a window and so
+ * knows what it has spent. What is left is for processes that do not. */
+#define SLACK_SHARE 0.75
+
+/* A younger process does not know what the one before it has spent, so its
+ * share grows from nothing to this one. However often processes are restarted
+ * within a window, their shares add up to this one at most, beside that of the
+ * process that ran before the window. */
+#define SLACK_FRESH_SHARE (1 - SLACK_SHARE)
 
 /* Share of the limit that hedges may use. Without a retry a failed part is
  * missing; without a hedge it is late. A quarter as much as hedges may use is
@@ -62,9 +65,7 @@
     if (uptime_ns >= limits->window_ns) {
         return SLACK_SHARE;
     }
-    return SLACK_FRESH_SHARE + (SLACK_SHARE - SLACK_FRESH_SHARE) *
-                                   (double)uptime_ns /
-                                   (double)limits->window_ns;
+    return SLACK_FRESH_SHARE * (double)uptime_ns / (double)limits->window_ns;
 }
 
 /* Takes the right to repeat within a share of the limit. */
--- a/tests/test-repeat.c
+++ b/tests/test-repeat.c
@@ -122,9 +122,11 @@
 test_restarts_in_quick_succession(void **state)
 {
     static const double restarts[] = {0.001, 0.01, 0.05};
+    static const double denser[] = {0.05, 0.2, 0.5};
 
     (void)state;
     play_restarts(restarts);
+    play_restarts(denser);
 }
 
 /* Notes the requests of a busy service at one moment. */
