Ask a store that is down with few gateways only

Cause: the order of readers counted those that reach the store. While nobody did, each gateway took itself for the first, and all of them repeated their reads of servers and routes and their lease calls, each up to three times in two seconds. The list of gateways was read by each one every 30 s as well. Now those that reach the store come first, then the others by name; after a failed read each rank waits half a second longer; at most four try to wait for routes while nobody does; lease calls are repeated after 1 to 10 s; two gateways read the list again, and those that know a silent one. Ruled out: fewer entries in the list. It keeps the number of gateways known to one that is cut off from the others, which bounds its share of the repeats.

Tests: test_reader_rank_without_store, test_calls_to_a_store_that_is_down, test_silent_gateways_are_noticed.

--- a/src/coord-share.c
+++ b/src/coord-share.c
@@ -21,6 +21,11 @@
 #define RETRY_FIRST_NS (100 * HR_NS_PER_MS)
 #define RETRY_DOUBLINGS 3
 
+/* After a failed read each rank waits this much longer: the reads of a store
+ * that is down grow with the logarithm of the number of daemons. */
+#define FAILED_RANK_STEP_NS (500 * HR_NS_PER_MS)
+#define FAILED_RANK_STEPS_MAX 40
+
 /* Documents that a daemon hands over at a time. */
 #define TRANSFERS_MAX 3
 
@@ -118,8 +123,10 @@
         uint32_t doublings = share->failures - 1 < RETRY_DOUBLINGS
                                  ? share->failures - 1
                                  : RETRY_DOUBLINGS;
+        uint32_t failed_steps =
+            rank < FAILED_RANK_STEPS_MAX ? rank : FAILED_RANK_STEPS_MAX;
         int64_t retry_ns = share->failed_ns + (RETRY_FIRST_NS << doublings) +
-                           steps * RANK_STEP_NS;
+                           failed_steps * FAILED_RANK_STEP_NS;
 
         due_ns = retry_ns > due_ns ? retry_ns : due_ns;
     }
--- a/src/coord-vm-set.c
+++ b/src/coord-vm-set.c
@@ -246,22 +246,47 @@
     return keep_near(data_centre, records, count);
 }
 
-/* Returns this daemon's place among those that reach the store. */
+/* Returns true if a gateway reads the store before this daemon does. */
+static bool
+reads_before_self(const HrVmSet *set, const HrVm *vm, bool self_reaches_store)
+{
+    if (vm->claim.reaches_store != self_reaches_store) {
+        return vm->claim.reaches_store;
+    }
+    return strcmp(vm->record.name, set->self.name) < 0;
+}
+
+/* Returns this daemon's place among those that read the store. While nobody
+ * reaches it there is an order too, so that a store that is down is not asked
+ * by all of them again and again. */
 uint32_t
-HrVmSet_ReaderRank(const HrVmSet *set, int64_t now_ns)
+HrVmSet_ReaderRank(const HrVmSet *set, bool self_reaches_store, int64_t now_ns)
 {
     uint32_t rank = 0, i;
 
     for (i = 0; i < set->count; i++) {
         const HrVm *vm = &set->vms[i];
 
-        rank += vm->claim.reaches_store && !vm->claim.leaving &&
-                is_heard(set, vm, now_ns) &&
-                strcmp(vm->record.name, set->self.name) < 0;
+        rank += !vm->claim.leaving && is_heard(set, vm, now_ns) &&
+                reads_before_self(set, vm, self_reaches_store);
     }
     return rank;
 }
 
+/* Returns true if a known gateway is silent. */
+bool
+HrVmSet_AnySilent(const HrVmSet *set, int64_t now_ns)
+{
+    uint32_t i;
+
+    for (i = 0; i < set->count; i++) {
+        if (!is_heard(set, &set->vms[i], now_ns)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns true if another gateway says that it waits for new routes. */
 bool
 HrVmSet_RoutesWatched(const HrVmSet *set, int64_t now_ns)
--- a/src/coord-vm-set.h
+++ b/src/coord-vm-set.h
@@ -61,13 +61,18 @@
                          const char *data_centre, int64_t now_ns,
                          const HrVmRecord **records, uint32_t room);
 
-/* Returns this daemon's place among those that reach the store: 0 reads it
- * first. */
-uint32_t HrVmSet_ReaderRank(const HrVmSet *set, int64_t now_ns);
+/* Returns this daemon's place among those that read the store: 0 reads it
+ * first. Those that reach it come before those that do not. */
+uint32_t HrVmSet_ReaderRank(const HrVmSet *set, bool self_reaches_store,
+                            int64_t now_ns);
 
 /* Returns true if another gateway says that it waits for new routes. */
 bool HrVmSet_RoutesWatched(const HrVmSet *set, int64_t now_ns);
 
+/* Returns true if a known gateway is silent, so that only the list in the
+ * store tells whether it was taken away. */
+bool HrVmSet_AnySilent(const HrVmSet *set, int64_t now_ns);
+
 /* Returns the time between two messages of a gateway to each other one. */
 int64_t HrVmSet_HelloPeriodNs(const HrVmSet *set);
 
--- a/src/daemon-gateway-feed-int.h
+++ b/src/daemon-gateway-feed-int.h
@@ -12,9 +12,18 @@
  * milliseconds, and in half a second when it is slow. */
 #define CALL_TIMEOUT_NS (1500 * HR_NS_PER_MS)
 
-/* A failed call is repeated after this time, doubled up to the limit. */
-#define RETRY_FIRST_NS (100 * HR_NS_PER_MS)
-#define RETRY_MAX_NS (800 * HR_NS_PER_MS)
+/* Delays before a failed call is repeated. Each doubles up to the limit. */
+typedef struct HrRetryDelays {
+    int64_t first_ns;
+    int64_t max_ns;
+} HrRetryDelays;
+
+/* Routes have to be in force soon. */
+#define HR_RETRY_ROUTES                                                       \
+    ((HrRetryDelays){100 * HR_NS_PER_MS, 800 * HR_NS_PER_MS})
+
+/* Entries in the list of gateways outlive many tries. */
+#define HR_RETRY_VMS ((HrRetryDelays){1 * HR_NS_PER_S, 10 * HR_NS_PER_S})
 
 /* Reads the routes, then waits for new ones. */
 typedef struct HrRoutesFeed {
@@ -51,6 +60,9 @@
     HrLoopTimer *list_timer;
     HrLeaseStep step;
     HrStoreLease lease;
+    int64_t retry_ns;
+    int64_t list_retry_ns;
+    bool was_read; /* the list of gateways, since the start */
 } HrVmsFeed;
 
 struct HrGatewayFeed {
@@ -68,6 +80,13 @@
 /* Notes whether the store answered; status 0 means that it did not. */
 void HrGatewayFeed_NoteCall(HrGatewayFeed *feed, const char *what, int status);
 
+/* Returns this daemon's place among those that read the store. */
+uint32_t HrGatewayFeed_Rank(const HrGatewayFeed *feed);
+
+/* Returns the delay before a failed call is repeated, and doubles the next
+ * one. 0 in *retry_ns: the call had not failed before. */
+int64_t HrGatewayFeed_NextRetry(int64_t *retry_ns, HrRetryDelays delays);
+
 /* Starts a call that was filled in. */
 void HrGatewayFeed_StartCall(HrGatewayFeed *feed, HrStoreCaller *caller,
                              int64_t timeout_ns);
--- a/src/daemon-gateway-feed.c
+++ b/src/daemon-gateway-feed.c
@@ -14,6 +14,9 @@
 /* This many daemons wait for new routes at the store and tell the others. */
 #define ROUTE_WATCHERS 2
 
+/* So many try to while nobody says that it does. */
+#define ROUTE_WATCHERS_UNWATCHED 4
+
 /* A watch is answered without a change after this time. One watcher waits for
  * a short time only: behind something that acknowledges for the store, only a
  * missing answer shows that a connection went silent. A change is due in force
@@ -36,13 +39,21 @@
     return HrLoop_NowNs(feed->gateway->loop);
 }
 
+/* Returns this daemon's place among those that read the store. */
+uint32_t
+HrGatewayFeed_Rank(const HrGatewayFeed *feed)
+{
+    return HrVmSet_ReaderRank(feed->gateway->vms, feed->reaches_store,
+                              HrGatewayFeed_Now(feed));
+}
+
 /* Doubles a delay between repeated calls. */
-static int64_t
-next_retry(int64_t *retry_ns)
+int64_t
+HrGatewayFeed_NextRetry(int64_t *retry_ns, HrRetryDelays delays)
 {
-    int64_t delay_ns = *retry_ns > 0 ? *retry_ns : RETRY_FIRST_NS;
+    int64_t delay_ns = *retry_ns > 0 ? *retry_ns : delays.first_ns;
 
-    *retry_ns = delay_ns * 2 < RETRY_MAX_NS ? delay_ns * 2 : RETRY_MAX_NS;
+    *retry_ns = delay_ns * 2 < delays.max_ns ? delay_ns * 2 : delays.max_ns;
     return delay_ns;
 }
 
@@ -83,19 +94,19 @@
 {
     const HrGateway *gateway = feed->gateway;
 
-    return gateway->table == NULL ||
-           HrVmSet_ReaderRank(gateway->vms, HrGatewayFeed_Now(feed)) <
-               ROUTE_WATCHERS ||
-           !HrVmSet_RoutesWatched(gateway->vms, HrGatewayFeed_Now(feed));
+    uint32_t rank = HrGatewayFeed_Rank(feed);
+
+    return gateway->table == NULL || rank < ROUTE_WATCHERS ||
+           (rank < ROUTE_WATCHERS_UNWATCHED &&
+            !HrVmSet_RoutesWatched(gateway->vms, HrGatewayFeed_Now(feed)));
 }
 
 /* Returns how long this daemon lets the store wait for a change. */
 static uint32_t
 watch_wait_ms(const HrGatewayFeed *feed)
 {
-    return HrVmSet_ReaderRank(feed->gateway->vms, HrGatewayFeed_Now(feed)) == 0
-               ? WATCH_WAIT_SHORT_MS
-               : WATCH_WAIT_LONG_MS;
+    return HrGatewayFeed_Rank(feed) == 0 ? WATCH_WAIT_SHORT_MS
+                                         : WATCH_WAIT_LONG_MS;
 }
 
 /* Makes the next call about the routes. */
@@ -163,18 +174,19 @@
     routes->after_revision = 0;
     HrLoop_SetTimer(feed->gateway->loop, routes->timer,
                     HrGatewayFeed_Now(feed) +
-                        (status == 410 ? 0 : next_retry(&routes->retry_ns)));
+                        (status == 410
+                             ? 0
+                             : HrGatewayFeed_NextRetry(&routes->retry_ns,
+                                                       HR_RETRY_ROUTES)));
 }
 
 /* Arms the next read of the list of servers. */
 static void
 schedule_servers(HrGatewayFeed *feed)
 {
-    uint32_t rank =
-        HrVmSet_ReaderRank(feed->gateway->vms, HrGatewayFeed_Now(feed));
-
-    HrLoop_SetTimer(feed->gateway->loop, feed->servers.timer,
-                    HrShare_ReadDueNs(&feed->servers.share, rank));
+    HrLoop_SetTimer(
+        feed->gateway->loop, feed->servers.timer,
+        HrShare_ReadDueNs(&feed->servers.share, HrGatewayFeed_Rank(feed)));
 }
 
 /* Reads a page of the list of servers. */
--- a/src/daemon-gateway-listing.c
+++ b/src/daemon-gateway-listing.c
@@ -12,8 +12,10 @@
 #define LEASE_TTL_MS 60000
 
 /* The list of gateways is read again after this time, in case messages did
- * not introduce one. */
+ * not introduce one, by so many gateways, and by those that do not hear one
+ * that they know. */
 #define VMS_INTERVAL_NS (30 * HR_NS_PER_S)
+#define VMS_READERS 2
 
 /* Takes over the record of one gateway. */
 static void
@@ -31,12 +33,25 @@
     HrVmSet_Offer(feed->gateway->vms, &record);
 }
 
-/* Reads the list of gateways. */
+/* Returns true if this daemon has to read the list of gateways again. */
+static bool
+must_read_vms(const HrGatewayFeed *feed)
+{
+    return HrGatewayFeed_Rank(feed) < VMS_READERS ||
+           HrVmSet_AnySilent(feed->gateway->vms, HrGatewayFeed_Now(feed));
+}
+
+/* Reads the list of gateways if that is due. */
 void
 HrGatewayFeed_ReadVms(void *arg)
 {
     HrGatewayFeed *feed = arg;
 
+    if (feed->vms.was_read && !must_read_vms(feed)) {
+        HrLoop_SetTimer(feed->gateway->loop, feed->vms.list_timer,
+                        HrGatewayFeed_Now(feed) + VMS_INTERVAL_NS);
+        return;
+    }
     HrStoreCall_Range(HrStoreCaller_Call(feed->vms.list_caller), VM_PREFIX,
                       "");
     HrGatewayFeed_StartCall(feed, feed->vms.list_caller, CALL_TIMEOUT_NS);
@@ -48,7 +63,7 @@
 {
     HrGatewayFeed *feed = arg;
     HrStorePage page;
-    int64_t delay_ns = RETRY_MAX_NS;
+    int64_t delay_ns;
 
     HrGatewayFeed_NoteCall(feed, "gateways", status);
     HrVmSet_BeginList(feed->gateway->vms);
@@ -57,8 +72,14 @@
                             &page) == HR_OK) {
         HrVmSet_EndList(feed->gateway->vms, HrGatewayFeed_Now(feed));
         HrGatewayPeers_Announce(feed->gateway->peers);
+        feed->vms.was_read = true;
+        feed->vms.list_retry_ns = 0;
         delay_ns = VMS_INTERVAL_NS;
     }
+    else {
+        delay_ns =
+            HrGatewayFeed_NextRetry(&feed->vms.list_retry_ns, HR_RETRY_VMS);
+    }
     HrLoop_SetTimer(feed->gateway->loop, feed->vms.list_timer,
                     HrGatewayFeed_Now(feed) + delay_ns);
 }
@@ -108,12 +129,13 @@
     case HR_LEASE_NONE:
         if (HrStoreAnswer_Lease(body.data, body.length_bytes, &vms->lease) !=
             HR_OK) {
-            return RETRY_MAX_NS;
+            return HrGatewayFeed_NextRetry(&vms->retry_ns, HR_RETRY_VMS);
         }
         vms->step = HR_LEASE_PUT;
         return 0;
     case HR_LEASE_PUT:
         vms->step = HR_LEASE_HELD;
+        vms->retry_ns = 0;
         HrLog_Write(feed->gateway->log, HR_LOG_INFO, "listed", "{s:I}",
                     "lease", (json_int_t)vms->lease.lease_id);
         if (!HrStoreCaller_IsBusy(vms->list_caller)) {
@@ -121,6 +143,8 @@
         }
         break;
     case HR_LEASE_HELD:
+        vms->retry_ns = 0;
+        break;
     case HR_LEASE_ENDED:
         break;
     }
@@ -132,7 +156,7 @@
 HrGatewayFeed_HandleLease(void *arg, int status, HrBytes body)
 {
     HrGatewayFeed *feed = arg;
-    int64_t delay_ns = RETRY_MAX_NS;
+    int64_t delay_ns;
 
     if (feed->vms.step == HR_LEASE_ENDED) {
         return;
@@ -141,7 +165,10 @@
     if (status == 200) {
         delay_ns = advance_lease(feed, body);
     }
-    else if (status == 404) {
+    else {
+        delay_ns = HrGatewayFeed_NextRetry(&feed->vms.retry_ns, HR_RETRY_VMS);
+    }
+    if (status == 404) {
         feed->vms.step = HR_LEASE_NONE;
     }
     if (delay_ns == 0) {
--- a/tests/common-gateway-fleet.c
+++ b/tests/common-gateway-fleet.c
@@ -440,13 +440,20 @@
     }
 }
 
+/* Returns a gateway's place among those that read the store. */
+static uint32_t
+reader_rank(const FleetGateway *gateway, int64_t now_ns)
+{
+    return HrVmSet_ReaderRank(gateway->vms, gateway->reaches_store, now_ns);
+}
+
 /* Handles what is due. */
 static void
 handle_timer(GatewayFleet *sim, uint32_t index)
 {
     FleetGateway *gateway = &sim->gateways[index];
     int64_t now_ns = sim->fleet->now_ns;
-    uint32_t rank = HrVmSet_ReaderRank(gateway->vms, now_ns);
+    uint32_t rank = reader_rank(gateway, now_ns);
 
     if (now_ns >= gateway->hello_ns) {
         HrServerSet_DropMissing(
@@ -515,9 +522,8 @@
     uint32_t i;
 
     if (!gateway->reading) {
-        due_ns = HrShare_ReadDueNs(
-            &gateway->share,
-            HrVmSet_ReaderRank(gateway->vms, sim->fleet->now_ns));
+        due_ns = HrShare_ReadDueNs(&gateway->share,
+                                   reader_rank(gateway, sim->fleet->now_ns));
         next_ns = due_ns < next_ns ? due_ns : next_ns;
     }
     if (gateway->leaving) {
--- a/tests/test-vm-set.c
+++ b/tests/test-vm-set.c
@@ -223,14 +223,77 @@
     hear(set, "a", 1, &serving, START_NS);
     hear(set, "b", 1, &serving, START_NS);
     hear(set, "z", 1, &serving, START_NS);
-    assert_int_equal(HrVmSet_ReaderRank(set, START_NS), 2);
+    assert_int_equal(HrVmSet_ReaderRank(set, true, START_NS), 2);
     hear(set, "a", 1, &cut_off, START_NS);
-    assert_int_equal(HrVmSet_ReaderRank(set, START_NS), 1);
+    assert_int_equal(HrVmSet_ReaderRank(set, true, START_NS), 1);
     hear(set, "b", 1, &leaving, START_NS);
-    assert_int_equal(HrVmSet_ReaderRank(set, START_NS), 0);
+    assert_int_equal(HrVmSet_ReaderRank(set, true, START_NS), 0);
     hear(set, "a", 1, &serving, START_NS);
-    assert_int_equal(HrVmSet_ReaderRank(set, START_NS), 1);
-    assert_int_equal(HrVmSet_ReaderRank(set, START_NS + 3 * HR_NS_PER_S), 0);
+    assert_int_equal(HrVmSet_ReaderRank(set, true, START_NS), 1);
+    assert_int_equal(HrVmSet_ReaderRank(set, true, START_NS + 3 * HR_NS_PER_S),
+                     0);
+}
+
+/* Guards against a store that is down and is asked by all daemons again and
+ * again, because none of them reaches it and so each takes itself for the
+ * first; and against one that is not asked by anyone. */
+static void
+test_reader_rank_without_store(void **state)
+{
+    HrVmSet *set = create_set(*state, 1);
+    HrVmClaim cut_off = serving;
+
+    cut_off.reaches_store = false;
+    assert_int_equal(HrVmSet_ReaderRank(set, false, START_NS), 0);
+    hear(set, "a", 1, &cut_off, START_NS);
+    hear(set, "b", 1, &cut_off, START_NS);
+    hear(set, "z", 1, &cut_off, START_NS);
+    assert_int_equal(HrVmSet_ReaderRank(set, false, START_NS), 2);
+    assert_int_equal(HrVmSet_ReaderRank(set, true, START_NS), 0);
+    hear(set, "z", 1, &serving, START_NS);
+    assert_int_equal(HrVmSet_ReaderRank(set, false, START_NS), 3);
+}
+
+/* Load pattern: a store that is down for 10 s, asked by a fleet. Guards
+ * against calls that grow in proportion to the number of daemons. */
+static void
+test_calls_to_a_store_that_is_down(void **state)
+{
+    const uint32_t sizes[] = {4, 32, 1900};
+    uint32_t calls[3] = {0}, i, rank;
+
+    (void)state;
+    for (i = 0; i < 3; i++) {
+        for (rank = 0; rank < sizes[i]; rank++) {
+            int64_t now_ns = START_NS, end_ns = START_NS + 10 * HR_NS_PER_S;
+            HrShare share;
+
+            HrShare_Init(&share, START_NS, 0);
+            HrShare_NoteList(&share, START_NS, START_NS);
+            while ((now_ns = HrShare_ReadDueNs(&share, rank)) < end_ns) {
+                calls[i]++;
+                HrShare_NoteFailure(&share, now_ns);
+            }
+        }
+    }
+    /* The first reader keeps asking at least once a second. */
+    assert_true(calls[0] >= 10);
+    /* Beyond the first read of each, eight times as many daemons ask at most
+     * three times as often, and any number at most once more each. */
+    assert_true(calls[1] - sizes[1] <= 3 * calls[0]);
+    assert_true(calls[2] - sizes[2] <= calls[1]);
+}
+
+/* Guards against a gateway that was taken away and is counted for ever. */
+static void
+test_silent_gateways_are_noticed(void **state)
+{
+    HrVmSet *set = create_set(*state, 1);
+
+    assert_false(HrVmSet_AnySilent(set, START_NS));
+    hear(set, "a", 1, &serving, START_NS);
+    assert_false(HrVmSet_AnySilent(set, START_NS));
+    assert_true(HrVmSet_AnySilent(set, START_NS + 3 * HR_NS_PER_S));
 }
 
 /* Guards against a list that nobody reads, and against one that everybody
@@ -533,6 +596,9 @@
         cmocka_unit_test(test_lost_gateways_share_for_a_while),
         cmocka_unit_test(test_replaced_gateways_are_forgotten),
         cmocka_unit_test(test_reader_rank),
+        cmocka_unit_test(test_reader_rank_without_store),
+        cmocka_unit_test(test_calls_to_a_store_that_is_down),
+        cmocka_unit_test(test_silent_gateways_are_noticed),
         cmocka_unit_test(test_one_reads_and_tells),
         cmocka_unit_test(test_gap_in_what_is_known),
         cmocka_unit_test(test_own_pause_is_no_gap),
