Send no hedge to a server that is full, slow or failing itself

Load pattern: servers of many shards shed, are slow or overloaded. A hedge went to the cheapest server that was left, however bad that one was: it added to the load, used up the limit of repeats, and came too late. A server whose cost is above 3 (its slots taken twice over) now gets no hedge; the hedge is weighed again 10 ms later.

Test: test_no_hedge_to_a_full_server fails without the change.

--- a/src/coord-forward.c
+++ b/src/coord-forward.c
@@ -13,6 +13,11 @@
 /* While no usual time is known, a share of the target time. */
 #define HEDGE_UNKNOWN_DIVISOR 3
 
+/* A server that costs more than this has its slots taken twice over, or is slow
+ * or failing itself, and would hardly answer before the one that is waited
+ * for. */
+#define HEDGE_COST_MAX 3.0
+
 /* A hedge that found no token or no free server is tried again after this. */
 #define HEDGE_AGAIN_NS (10 * HR_NS_PER_MS)
 
@@ -137,7 +142,8 @@
         return;
     }
     unit->hedge_ns = now_ns + HEDGE_AGAIN_NS;
-    if (replica == NULL || now_ns < replica->refused_until_ns) {
+    if (replica == NULL || now_ns < replica->refused_until_ns ||
+        HrReplica_Cost(replica, now_ns) > HEDGE_COST_MAX) {
         return;
     }
     if (!HrRepeat_TakeForHedge(
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -537,6 +537,55 @@
     assert_int_equal(world.end, HR_FORWARD_END_PASS);
 }
 
+/* Makes every server but the first one of a service hold attempts of others.
+ */
+static void
+load_servers(World *world, HrService *service, HrAttempt *held, uint32_t each)
+{
+    HrReplica *replica = TAILQ_FIRST(&service->replicas);
+    uint32_t count = 0, i;
+
+    while ((replica = TAILQ_NEXT(replica, entry)) != NULL) {
+        for (i = 0; i < each; i++) {
+            HrReplica_Begin(replica, &held[count++], 0, world->now_ns);
+        }
+    }
+}
+
+/* Load pattern: servers of many shards are overloaded. Guards against hedges
+ * that are sent to servers which are full themselves: they add to the load and
+ * use up the limit of repeats, and their answers come too late. A server that
+ * is free again gets the hedge. */
+static void
+test_no_hedge_to_a_full_server(void **state)
+{
+    HrAttempt held[12];
+    HrService *service;
+    World world;
+    uint32_t i;
+
+    init_world(&world, *state, HR_FORWARD_ONE, 1, 3, 1);
+    teach_usual(&world, 10 * MS);
+    service = HrServerSet_Service(world.servers, "s0", true);
+    load_servers(&world, service, held, 6);
+    start(&world, *state);
+    set_replies(&world, 400 * MS, 0);
+    while (world.now_ns < START_NS + 60 * MS) {
+        step(&world);
+    }
+    assert_int_equal(world.sent_count, 1);
+    for (i = 0; i < 6; i++) {
+        HrReplica_End(&held[i], HR_REPLY_OK, world.now_ns);
+    }
+    while (world.finished == 0 && world.sent_count == 1) {
+        step(&world);
+    }
+    assert_int_equal(world.sent_count, 2);
+    assert_ptr_equal(world.sent[1].replica,
+                     TAILQ_NEXT(TAILQ_FIRST(&service->replicas), entry));
+    assert_true(world.now_ns < START_NS + 80 * MS);
+}
+
 /* Guards against a split whose parts miss their weights in a short span, from
  * any start of the process. */
 static void
@@ -572,6 +621,7 @@
         cmocka_unit_test(test_spent_time_brings_the_answer_forward),
         cmocka_unit_test(test_hopeless_request_ends_at_once),
         cmocka_unit_test(test_hedges_stop_at_the_limit),
+        cmocka_unit_test(test_no_hedge_to_a_full_server),
         cmocka_unit_test(test_split_meets_its_weights),
     };
 
