Let seeds read the store at once after their start

Load pattern: all VMs lose power and start again; callers wait for the first gateway. Each one waited up to 150 ms before its first read, so that it could learn routes and servers from others. Seeds now read at once; the others keep the spread and ask the seeds meanwhile.

Tests: test_seeds_read_first, test_seed_is_known.

--- a/src/coord-forward.c
+++ b/src/coord-forward.c
@@ -13,9 +13,9 @@
 /* While no usual time is known, a share of the target time. */
 #define HEDGE_UNKNOWN_DIVISOR 3
 
-/* A server that costs more than this has its slots taken twice over, or is slow
- * or failing itself, and would hardly answer before the one that is waited
- * for. */
+/* A server that costs more than this has its slots taken twice over, or is
+ * slow or failing itself, and would hardly answer before the one that is
+ * waited for. */
 #define HEDGE_COST_MAX 3.0
 
 /* A hedge that found no token or no free server is tried again after this. */
--- a/src/coord-share.c
+++ b/src/coord-share.c
@@ -26,6 +26,10 @@
 #define FAILED_RANK_STEP_NS (500 * HR_NS_PER_MS)
 #define FAILED_RANK_STEPS_MAX 40
 
+/* Within this time after its start a daemon that is no seed may learn the list
+ * from others before it asks the store. */
+#define FIRST_READ_SPREAD_NS (150 * HR_NS_PER_MS)
+
 /* Documents that a daemon hands over at a time. */
 #define TRANSFERS_MAX 3
 
@@ -44,6 +48,14 @@
     share->first_ns = now_ns + first_delay_ns;
 }
 
+/* Returns how long a daemon that starts waits before its first read. */
+int64_t
+HrShare_FirstDelayNs(bool is_seed, HrRng *rng)
+{
+    return is_seed ? 0
+                   : (int64_t)HrRng_Below(rng, (uint64_t)FIRST_READ_SPREAD_NS);
+}
+
 /* Moves on the time at which the list is known to be true. */
 static void
 advance(HrShare *share, int64_t as_of_ns, int64_t now_ns)
--- a/src/coord-share.h
+++ b/src/coord-share.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "base-clock.h"
+#include "base-rng.h"
 
 /* When this daemon reads a list from the store that all daemons need. The one
  * with the lowest rank reads it once a period and tells the others, who take
@@ -31,6 +32,11 @@
  * other daemons may tell theirs. */
 void HrShare_Init(HrShare *share, int64_t now_ns, int64_t first_delay_ns);
 
+/* Returns how long a daemon that starts waits before its first read. Seeds do
+ * not wait: after a loss of all VMs callers wait for them, and the others ask
+ * them. */
+int64_t HrShare_FirstDelayNs(bool is_seed, HrRng *rng);
+
 /* Notes a complete read or take-over of a list that was true at as_of_ns. */
 void HrShare_NoteList(HrShare *share, int64_t as_of_ns, int64_t now_ns);
 
--- a/src/daemon-gateway-feed.c
+++ b/src/daemon-gateway-feed.c
@@ -7,10 +7,6 @@
 #include "platform-table.h"
 #include "proto-hello.h"
 
-/* Within this time after its start a daemon may learn routes and servers from
- * others before it asks the store. */
-#define FIRST_READ_SPREAD_NS (150 * HR_NS_PER_MS)
-
 /* This many daemons wait for new routes at the store and tell the others. */
 #define ROUTE_WATCHERS 2
 
@@ -472,7 +468,7 @@
 HrGatewayFeed_Create(HrGateway *gateway)
 {
     HrGatewayFeed *feed = talloc_zero(gateway, HrGatewayFeed);
-    int64_t spread_ns;
+    int64_t delay_ns;
 
     if (feed == NULL) {
         return NULL;
@@ -491,11 +487,11 @@
                      &feed->vms.list_timer, HrGatewayFeed_ReadVms)) {
         return NULL;
     }
-    spread_ns =
-        (int64_t)HrRng_Below(&gateway->rng, (uint64_t)FIRST_READ_SPREAD_NS);
-    HrShare_Init(&feed->servers.share, HrGatewayFeed_Now(feed), spread_ns);
+    delay_ns = HrShare_FirstDelayNs(
+        HrGatewaySettings_IsSeed(gateway->settings), &gateway->rng);
+    HrShare_Init(&feed->servers.share, HrGatewayFeed_Now(feed), delay_ns);
     HrLoop_SetTimer(gateway->loop, feed->routes.timer,
-                    HrGatewayFeed_Now(feed) + spread_ns);
+                    HrGatewayFeed_Now(feed) + delay_ns);
     schedule_servers(feed);
     HrGatewayFeed_RunLease(feed);
     return feed;
--- a/src/state-gateway-settings.c
+++ b/src/state-gateway-settings.c
@@ -301,3 +301,17 @@
     }
     return parse.settings;
 }
+
+/* Returns true if the daemon is one of the seeds. */
+bool
+HrGatewaySettings_IsSeed(const HrGatewaySettings *settings)
+{
+    uint32_t i;
+
+    for (i = 0; i < settings->peer_seed_count; i++) {
+        if (strcmp(settings->peer_seeds[i], settings->control_listen) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
--- a/src/state-gateway-settings.h
+++ b/src/state-gateway-settings.h
@@ -42,4 +42,7 @@
 HrGatewaySettings *HrGatewaySettings_Load(const void *parent, const char *path,
                                           HrError *err);
 
+/* Returns true if the daemon is one of the seeds, which the others ask. */
+bool HrGatewaySettings_IsSeed(const HrGatewaySettings *settings);
+
 #endif
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -409,6 +409,24 @@
     assert_true(settings->stop_grace_s == 6);
 }
 
+/* Guards against a seed that does not know that it is one, and waits for
+ * others to read the store after a loss of all VMs. */
+static void
+test_seed_is_known(void **state)
+{
+    HrError err = {0};
+    const HrGatewaySettings *other =
+        load_settings(*state, sample_settings, &err);
+    const HrGatewaySettings *seed =
+        load_settings(*state,
+                      replace(*state, sample_settings, "[\"10.0.0.2:4\"]",
+                              "[\"10.0.0.2:4\",\"10.0.0.1:4\"]"),
+                      &err);
+
+    assert_false(HrGatewaySettings_IsSeed(other));
+    assert_true(HrGatewaySettings_IsSeed(seed));
+}
+
 /* Guards against a daemon that does not start on a platform that does not
  * state all bounds, or states them as fractions. */
 static void
@@ -489,6 +507,7 @@
         cmocka_unit_test(test_unreadable_time_limit),
         cmocka_unit_test(test_directory_answer),
         cmocka_unit_test(test_settings),
+        cmocka_unit_test(test_seed_is_known),
         cmocka_unit_test(test_bounds_may_be_left_out),
         cmocka_unit_test(test_bad_settings),
     };
--- a/tests/test-vm-set.c
+++ b/tests/test-vm-set.c
@@ -254,6 +254,23 @@
     assert_int_equal(HrVmSet_ReaderRank(set, false, START_NS), 3);
 }
 
+/* Load pattern: all VMs lose power and start again. Guards against callers
+ * that wait while no daemon has read the store yet, and against a fleet that
+ * reads it all at the same moment. */
+static void
+test_seeds_read_first(void **state)
+{
+    HrRng rng = HrRng_FromSeed(1);
+    uint32_t early = 0, i;
+
+    (void)state;
+    for (i = 0; i < 100; i++) {
+        assert_int_equal(HrShare_FirstDelayNs(true, &rng), 0);
+        early += HrShare_FirstDelayNs(false, &rng) < 20 * HR_NS_PER_MS;
+    }
+    assert_true(early < 30);
+}
+
 /* Load pattern: a store that is down for 10 s, asked by a fleet. Guards
  * against calls that grow in proportion to the number of daemons. */
 static void
@@ -597,6 +614,7 @@
         cmocka_unit_test(test_replaced_gateways_are_forgotten),
         cmocka_unit_test(test_reader_rank),
         cmocka_unit_test(test_reader_rank_without_store),
+        cmocka_unit_test(test_seeds_read_first),
         cmocka_unit_test(test_calls_to_a_store_that_is_down),
         cmocka_unit_test(test_silent_gateways_are_noticed),
         cmocka_unit_test(test_one_reads_and_tells),
