Wait for routes again after an outage; doubt idle connections to the store

A gateway that tried to wait for routes during an outage, and was not needed when its delay ended, kept its delay, so that it never waited again. It was there before; since few gateways retry, nobody else stepped in. The wait is now given up as a whole. After a call without an answer the next one took another idle connection, which was as silent: with several connections from the start the retry took 1.5 s more. Connections that were idle when a call was not answered, or when a gateway takes over the short waits, are not used any more. Since the list of gateways is read by two of them only, a gateway that was cut off from the others and the store forgot them after 10 s and took their share of the repeats. Only a list without a gateway now says that it is gone.

--- a/src/coord-vm-set.c
+++ b/src/coord-vm-set.c
@@ -127,6 +127,26 @@
     return vm->heard_ns > vm->unlisted_ns ? vm->heard_ns : vm->unlisted_ns;
 }
 
+/* Returns the time between two messages. */
+int64_t
+HrVmSet_HelloPeriodNs(const HrVmSet *set)
+{
+    int64_t period_ns = set->count * HELLO_PER_VM_NS;
+
+    return period_ns > HELLO_MIN_NS ? period_ns : HELLO_MIN_NS;
+}
+
+/* Returns true if a gateway's messages arrive. */
+static bool
+is_heard(const HrVmSet *set, const HrVm *vm, int64_t now_ns)
+{
+    int64_t silent_ns =
+        (int64_t)(SILENT_PERIODS * (double)HrVmSet_HelloPeriodNs(set));
+
+    silent_ns = silent_ns > SILENT_MIN_NS ? silent_ns : SILENT_MIN_NS;
+    return vm->heard_ns > 0 && now_ns - vm->heard_ns < silent_ns;
+}
+
 /* Ends a list. Gateways that were taken away are forgotten here. */
 void
 HrVmSet_EndList(HrVmSet *set, int64_t now_ns)
@@ -136,7 +156,9 @@
     while (i < set->count) {
         HrVm *vm = &set->vms[i];
 
-        if (!set->marked[i] && (vm->listed || seen_ns(vm) == 0)) {
+        if (!set->marked[i] &&
+            (vm->listed || (vm->heard_ns >= vm->unlisted_ns &&
+                            !is_heard(set, vm, now_ns)))) {
             vm->listed = false;
             vm->unlisted_ns = now_ns;
         }
@@ -157,26 +179,6 @@
     take_introduced(set, record);
 }
 
-/* Returns the time between two messages. */
-int64_t
-HrVmSet_HelloPeriodNs(const HrVmSet *set)
-{
-    int64_t period_ns = set->count * HELLO_PER_VM_NS;
-
-    return period_ns > HELLO_MIN_NS ? period_ns : HELLO_MIN_NS;
-}
-
-/* Returns true if a gateway's messages arrive. */
-static bool
-is_heard(const HrVmSet *set, const HrVm *vm, int64_t now_ns)
-{
-    int64_t silent_ns =
-        (int64_t)(SILENT_PERIODS * (double)HrVmSet_HelloPeriodNs(set));
-
-    silent_ns = silent_ns > SILENT_MIN_NS ? silent_ns : SILENT_MIN_NS;
-    return vm->heard_ns > 0 && now_ns - vm->heard_ns < silent_ns;
-}
-
 /* Notes a message of a gateway about itself. Incarnations are wall times: one
  * that is lower is of an earlier start if a later start is heard now, and
  * otherwise of a start after the wall clock was set back. */
@@ -302,6 +304,16 @@
     return false;
 }
 
+/* Returns true if a gateway may still serve callers. One that is silent may,
+ * until a while after a list without it. */
+static bool
+may_serve(const HrVmSet *set, const HrVm *vm, int64_t now_ns)
+{
+    return vm->listed || vm->heard_ns > vm->unlisted_ns ||
+           (vm->unlisted_ns > 0 &&
+            now_ns - vm->unlisted_ns < set->config.forget_ns);
+}
+
 /* Returns the number of daemons that share limits. */
 uint32_t
 HrVmSet_Sharing(const HrVmSet *set, int64_t now_ns)
@@ -309,14 +321,7 @@
     uint32_t count = 1, i;
 
     for (i = 0; i < set->count; i++) {
-        const HrVm *vm = &set->vms[i];
-        int64_t seen_ns =
-            vm->heard_ns > vm->unlisted_ns ? vm->heard_ns : vm->unlisted_ns;
-
-        if (vm->listed ||
-            (seen_ns > 0 && now_ns - seen_ns < set->config.forget_ns)) {
-            count++;
-        }
+        count += may_serve(set, &set->vms[i], now_ns);
     }
     return count > set->config.min_sharing ? count : set->config.min_sharing;
 }
--- a/src/daemon-gateway-feed.c
+++ b/src/daemon-gateway-feed.c
@@ -105,6 +105,20 @@
                                          : WATCH_WAIT_LONG_MS;
 }
 
+/* Leaves the wait for routes to others, until HrGatewayFeed_Adapt finds that
+ * this daemon has to wait again. */
+static void
+stop_routes(HrGatewayFeed *feed)
+{
+    HrRoutesFeed *routes = &feed->routes;
+
+    HrStoreCaller_Cancel(routes->caller);
+    HrLoop_SetTimer(feed->gateway->loop, routes->timer, HR_TIME_NEVER);
+    routes->after_revision = 0;
+    routes->retry_ns = 0;
+    routes->waiting = false;
+}
+
 /* Makes the next call about the routes. */
 static void
 run_routes(void *arg)
@@ -113,7 +127,11 @@
     HrRoutesFeed *routes = &feed->routes;
     HrStoreCall *call = HrStoreCaller_Call(routes->caller);
 
-    if (HrStoreCaller_IsBusy(routes->caller) || !must_watch_routes(feed)) {
+    if (HrStoreCaller_IsBusy(routes->caller)) {
+        return;
+    }
+    if (!must_watch_routes(feed)) {
+        stop_routes(feed);
         return;
     }
     routes->waiting = routes->after_revision > 0;
@@ -437,14 +455,14 @@
     HrServerSet_DropMissing(feed->gateway->servers, since_return(feed));
     schedule_servers(feed);
     if (!must_watch_routes(feed)) {
-        HrStoreCaller_Cancel(routes->caller);
-        routes->after_revision = 0;
-        routes->waiting = false;
+        stop_routes(feed);
     }
     else if (HrStoreCaller_IsBusy(routes->caller) && routes->waiting &&
              watch_wait_ms(feed) < routes->wait_ms) {
-        /* The one that waited for a short time is gone. */
+        /* The one that waited for a short time is gone, and until now nothing
+         * showed whether the connections of this daemon are silent. */
         HrStoreCaller_Cancel(routes->caller);
+        HrStoreCaller_DoubtIdle(routes->caller);
         run_routes(feed);
     }
     else if (!HrStoreCaller_IsBusy(routes->caller) && routes->retry_ns == 0 &&
--- a/src/daemon-gateway-state.h
+++ b/src/daemon-gateway-state.h
@@ -42,6 +42,8 @@
     HrVmRecord self;
     HrH1Client *server_client;
     HrH1Client *store_client;
+    /* Connections to the store that were idle then may be silent; 0: none. */
+    int64_t store_doubt_ns;
     HrGatewayFeed *feed;
     HrGatewayPeers *peers;
     HrH1Server *callers;
--- a/src/daemon-gateway-store.c
+++ b/src/daemon-gateway-store.c
@@ -14,12 +14,30 @@
     void *arg;
 };
 
+/* Returns how long a connection to the store may have been idle. What cut one
+ * off silently may have cut off all that were open then. */
+static int64_t
+max_idle_ns(const HrGateway *gateway)
+{
+    return gateway->store_doubt_ns > 0
+               ? HrLoop_NowNs(gateway->loop) - gateway->store_doubt_ns
+               : HR_TIME_NEVER;
+}
+
+/* Makes later calls use new connections. */
+void
+HrStoreCaller_DoubtIdle(HrStoreCaller *caller)
+{
+    caller->gateway->store_doubt_ns = HrLoop_NowNs(caller->gateway->loop);
+}
+
 /* Reports a call without an answer in time. */
 static void
 handle_timeout(void *arg)
 {
     HrStoreCaller *caller = arg;
 
+    HrStoreCaller_DoubtIdle(caller);
     if (caller->send != NULL) {
         HrH1Send_Abandon(caller->send, 0);
         caller->send = NULL;
@@ -96,9 +114,9 @@
 void
 HrStoreCaller_Start(HrStoreCaller *caller, int64_t timeout_ns)
 {
-    const HrGateway *gateway = caller->gateway;
+    HrGateway *gateway = caller->gateway;
     size_t body_bytes = HrBuffer_Length(&caller->call.body);
-    HrH1Request request = {.max_idle_ns = HR_TIME_NEVER};
+    HrH1Request request = {.max_idle_ns = max_idle_ns(gateway)};
 
     HrBuffer_Truncate(&caller->head, 0);
     HrBuffer_Print(&caller->head, "%s %s HTTP/1.1\r\nHost: %s\r\n",
--- a/src/daemon-gateway-store.h
+++ b/src/daemon-gateway-store.h
@@ -27,6 +27,10 @@
 /* Gives up the call that is under way; fn is not called. */
 void HrStoreCaller_Cancel(HrStoreCaller *caller);
 
+/* Makes later calls use new connections: those that are idle now may have gone
+ * silent. */
+void HrStoreCaller_DoubtIdle(HrStoreCaller *caller);
+
 /* Makes the call that was filled in; fn is called later. */
 void HrStoreCaller_Start(HrStoreCaller *caller, int64_t timeout_ns);
 
--- a/tests/common-gateway-fleet.h
+++ b/tests/common-gateway-fleet.h
@@ -139,8 +139,9 @@
     uint32_t version_count;
     int64_t store_down_until_ns;
     int64_t store_slow_until_ns;
-    int64_t store_trouble_ns; /* newest moment with a fault of the store */
-    int64_t list_changed_ns;  /* when a server was listed or removed last */
+    int64_t store_trouble_ns;  /* newest moment with a fault of the store */
+    int64_t list_changed_ns;   /* when a server was listed or removed last */
+    int64_t shedding_until_ns; /* servers decline half of their requests */
     bool store_lapses;
     double answers_lost;
     FleetRequest requests[FLEET_REQUESTS];
--- a/tests/common-gateway-world.c
+++ b/tests/common-gateway-world.c
@@ -6,7 +6,7 @@
 
 #define SERVERS_PER_SERVICE 3
 #define BEAT_NS (1200 * HR_NS_PER_MS)
-#define FAULT_KINDS 9
+#define FAULT_KINDS 10
 #define PAUSE_MAX_NS (5 * HR_NS_PER_S)
 #define READ_LIMIT_NS (1500 * HR_NS_PER_MS)
 #define REUSE_NS (2 * HR_NS_PER_S)
@@ -225,6 +225,11 @@
     double chance = sim->quiet ? 1 : HrRng_Unit(&sim->rng);
 
     *runs = true;
+    if (!sim->quiet && sim->fleet->now_ns < sim->shedding_until_ns &&
+        HrRng_Chance(&sim->rng, 0.5)) {
+        *runs = false;
+        return HR_REPLY_DECLINED;
+    }
     if (chance < 0.03) {
         *runs = false;
         return HR_REPLY_DECLINED;
@@ -532,6 +537,13 @@
     case 7:
         toggle_cut(sim, index, (index + 1) % FLEET_GATEWAYS);
         break;
+    case 8:
+        sim->shedding_until_ns =
+            sim->fleet->now_ns +
+            HrRng_ExponentialNs(&sim->rng, 5 * HR_NS_PER_S);
+        HrFleet_Trace(sim->fleet, "servers shed until %.1f s",
+                      (double)sim->shedding_until_ns / HR_NS_PER_S);
+        break;
     default:
         write_routes(sim);
         break;
--- a/tests/test-vm-set.c
+++ b/tests/test-vm-set.c
@@ -301,6 +301,25 @@
     assert_true(calls[2] - sizes[2] <= calls[1]);
 }
 
+/* Guards against a gateway that takes the share of others when it is cut off
+ * from them and from the store: they still serve callers. Only a list without
+ * them says that they are gone. */
+static void
+test_sharing_while_cut_off(void **state)
+{
+    HrVmSet *set = create_set(*state, 1);
+    int64_t now_ns = START_NS;
+
+    hear(set, "a", 1, &serving, now_ns);
+    hear(set, "b", 1, &serving, now_ns);
+    now_ns += 60 * HR_NS_PER_S;
+    assert_int_equal(HrVmSet_Sharing(set, now_ns), 3);
+    HrVmSet_BeginList(set);
+    HrVmSet_EndList(set, now_ns);
+    now_ns += 60 * HR_NS_PER_S;
+    assert_int_equal(HrVmSet_Sharing(set, now_ns), 1);
+}
+
 /* Guards against a gateway that was taken away and is counted for ever. */
 static void
 test_silent_gateways_are_noticed(void **state)
@@ -616,6 +635,7 @@
         cmocka_unit_test(test_reader_rank_without_store),
         cmocka_unit_test(test_seeds_read_first),
         cmocka_unit_test(test_calls_to_a_store_that_is_down),
+        cmocka_unit_test(test_sharing_while_cut_off),
         cmocka_unit_test(test_silent_gateways_are_noticed),
         cmocka_unit_test(test_one_reads_and_tells),
         cmocka_unit_test(test_gap_in_what_is_known),
