--- a/tests/common-gateway-fleet.h
+++ b/tests/common-gateway-fleet.h
@@ -188,10 +188,26 @@
     HrReply reply;
 } FleetReply;
 
-/* common-gateway-world.c: servers, store, operator and faults. */
+/* common-gateway-faults.c: lets one fault or planned change happen. */
+void FleetFaults_Disturb(GatewayFleet *sim);
+
+/* common-gateway-world.c: servers, store and operator. */
 void FleetWorld_Init(GatewayFleet *sim);
 void FleetWorld_Tick(GatewayFleet *sim);
 
+/* Starts a server; id, address: NULL for a new one. */
+FleetServer *FleetWorld_AddServer(GatewayFleet *sim, uint32_t service,
+                                  const char *id, const char *address);
+
+/* Returns the server that answers at an address now; NULL: none. */
+FleetServer *FleetWorld_FindOccupant(GatewayFleet *sim, const char *address);
+
+/* Returns true if the store serves anyone. */
+bool FleetWorld_StoreIsUp(const GatewayFleet *sim);
+
+/* Lets the operator write a new version of the routes. */
+void FleetWorld_WriteRoutes(GatewayFleet *sim);
+
 /* Lets the faults end. */
 void FleetWorld_Calm(GatewayFleet *sim);
 
--- a/tests/common-gateway-world.c
+++ b/tests/common-gateway-world.c
@@ -5,22 +5,16 @@
 #include <talloc.h>
 
 #define SERVERS_PER_SERVICE 3
-#define BEAT_NS (1200 * HR_NS_PER_MS)
-#define FAULT_KINDS 10
-#define PAUSE_MAX_NS (5 * HR_NS_PER_S)
 #define READ_LIMIT_NS (1500 * HR_NS_PER_MS)
-#define REUSE_NS (2 * HR_NS_PER_S)
-/* How long a server goes on after the store knows that it leaves. */
-#define LINGER_NS (FLEET_DRAIN_NS + 500 * HR_NS_PER_MS)
 /* Wide requests go to the first set of shards or to the second one, single
  * ones to one of the last two services. */
 #define SECOND_SET FLEET_SHARDS
 #define FIRST_SINGLE (2 * FLEET_SHARDS)
 
 /* Starts a server; id, address: NULL for a new one. */
-static FleetServer *
-add_server(GatewayFleet *sim, uint32_t service, const char *id,
-           const char *address)
+FleetServer *
+FleetWorld_AddServer(GatewayFleet *sim, uint32_t service, const char *id,
+                     const char *address)
 {
     FleetServer *server;
 
@@ -56,8 +50,8 @@
 }
 
 /* Returns true if the store serves now. */
-static bool
-store_is_up(const GatewayFleet *sim)
+bool
+FleetWorld_StoreIsUp(const GatewayFleet *sim)
 {
     return sim->fleet->now_ns >= sim->store_down_until_ns;
 }
@@ -66,19 +60,19 @@
 static bool
 store_serves(const GatewayFleet *sim, uint32_t index)
 {
-    return store_is_up(sim) &&
+    return FleetWorld_StoreIsUp(sim) &&
            sim->fleet->now_ns >= sim->gateways[index].store_refuses_ns;
 }
 
 /* Writes a new version of the routes. */
-static void
-write_routes(GatewayFleet *sim)
+void
+FleetWorld_WriteRoutes(GatewayFleet *sim)
 {
     uint32_t number = sim->version_count, i;
     bool second = HrRng_Chance(&sim->rng, 0.5);
     FleetTable *table;
 
-    if (number == FLEET_VERSIONS || !store_is_up(sim)) {
+    if (number == FLEET_VERSIONS || !FleetWorld_StoreIsUp(sim)) {
         return;
     }
     table = &sim->tables[sim->version_count++];
@@ -145,10 +139,10 @@
         snprintf(sim->names[i], sizeof(sim->names[i]), "s%u", i);
         sim->services[i] = (HrForwardService){sim->names[i], 24};
         for (k = 0; k < SERVERS_PER_SERVICE; k++) {
-            add_server(sim, i, NULL, NULL);
+            FleetWorld_AddServer(sim, i, NULL, NULL);
         }
     }
-    write_routes(sim);
+    FleetWorld_WriteRoutes(sim);
     /* Some of the kinds in each schedule: few at a time meet more often. */
     sim->kinds = (uint32_t)HrRng_Next(&sim->rng);
     for (i = 0; i < FLEET_GATEWAYS; i++) {
@@ -203,8 +197,8 @@
 }
 
 /* Returns the server that answers at an address now; NULL: none. */
-static FleetServer *
-find_occupant(GatewayFleet *sim, const char *address)
+FleetServer *
+FleetWorld_FindOccupant(GatewayFleet *sim, const char *address)
 {
     uint32_t i;
 
@@ -249,7 +243,7 @@
                 const HrForwardAction *action)
 {
     const HrReplica *replica = action->u.send.replica;
-    FleetServer *server = find_occupant(sim, replica->address);
+    FleetServer *server = FleetWorld_FindOccupant(sim, replica->address);
     FleetReply *reply = talloc_zero(sim->fleet, FleetReply);
     int64_t delay_ns = 2 * HR_NS_PER_MS;
     bool runs = false;
@@ -277,279 +271,6 @@
                sim->requests[request].gateway, GATEWAY_REPLY, reply);
 }
 
-/* Returns a random server that lives and does not leave; NULL: none. */
-static FleetServer *
-choose_server(GatewayFleet *sim)
-{
-    uint32_t first = (uint32_t)HrRng_Below(&sim->rng, sim->server_count), i;
-
-    for (i = 0; i < sim->server_count; i++) {
-        FleetServer *server = &sim->servers[(first + i) % sim->server_count];
-
-        if (server->alive && !server->leaving) {
-            return server;
-        }
-    }
-    return NULL;
-}
-
-/* Returns how many servers of a service live and do not leave. */
-static uint32_t
-count_staying(const GatewayFleet *sim, uint32_t service)
-{
-    uint32_t count = 0, i;
-
-    for (i = 0; i < sim->server_count; i++) {
-        count += sim->servers[i].service == service && sim->servers[i].alive &&
-                 !sim->servers[i].leaving;
-    }
-    return count;
-}
-
-/* Lets a server leave: it reports that, or its entry goes at once. */
-static void
-leave_server(GatewayFleet *sim, FleetServer *server)
-{
-    if (count_staying(sim, server->service) < 2 || !store_is_up(sim)) {
-        return;
-    }
-    server->leaving = true;
-    server->left_ns = sim->fleet->now_ns;
-    server->ends_ns = server->left_ns + LINGER_NS +
-                      HrRng_ExponentialNs(&sim->rng, 3 * HR_NS_PER_S);
-    server->sequence++;
-    if (HrRng_Chance(&sim->rng, 0.6)) {
-        server->listed_draining = true;
-    }
-    else {
-        server->listed = false;
-    }
-    HrFleet_Trace(sim->fleet, "%s leaves (%s)", server->id,
-                  server->listed ? "draining" : "removed");
-    add_server(sim, server->service, NULL, NULL);
-}
-
-/* Ends a server without notice; it may start again under the same id. */
-static void
-crash_server(GatewayFleet *sim, FleetServer *server)
-{
-    char id[sizeof(server->id)], address[sizeof(server->address)];
-    uint32_t service = server->service;
-
-    if (count_staying(sim, service) < 2) {
-        return;
-    }
-    server->alive = false;
-    server->crashed = true;
-    server->ends_ns = sim->fleet->now_ns;
-    server->lapse_ns = sim->fleet->now_ns + 3 * BEAT_NS;
-    HrFleet_Trace(sim->fleet, "%s crashes", server->id);
-    if (HrRng_Chance(&sim->rng, 0.4) && store_is_up(sim)) {
-        snprintf(id, sizeof(id), "%s", server->id);
-        snprintf(address, sizeof(address), "%s", server->address);
-        server->listed = false;
-        add_server(sim, service, id, address);
-    }
-    else {
-        add_server(sim, service, NULL, NULL);
-    }
-}
-
-/* Gives the address of a server that has ended to a new one of another
- * service. */
-static void
-reuse_address(GatewayFleet *sim)
-{
-    uint32_t i;
-
-    for (i = 0; i < sim->server_count; i++) {
-        FleetServer *server = &sim->servers[i];
-
-        if (server->alive || server->ends_ns == HR_TIME_NEVER ||
-            sim->fleet->now_ns - server->ends_ns <= REUSE_NS ||
-            server->address_reused) {
-            continue;
-        }
-        server->address_reused = true;
-        /* It may be in use by a restart under the same id. */
-        if (find_occupant(sim, server->address) == NULL) {
-            add_server(sim, (server->service + 1) % FLEET_SERVICES, NULL,
-                       server->address);
-            return;
-        }
-    }
-}
-
-/* Notes a fault on a gateway's VM that lasts until a time. */
-static void
-note_trouble(GatewayFleet *sim, uint32_t index, int64_t until_ns)
-{
-    FleetGateway *gateway = &sim->gateways[index];
-
-    if (until_ns > gateway->trouble_ns) {
-        gateway->trouble_ns = until_ns;
-    }
-}
-
-/* Notes that a cut of a gateway's messages has ended; a pause may go on. */
-static void
-end_trouble(GatewayFleet *sim, uint32_t index)
-{
-    FleetGateway *gateway = &sim->gateways[index];
-
-    gateway->trouble_ns = sim->fleet->now_ns;
-    note_trouble(sim, index, gateway->resumed_ns);
-    note_trouble(sim, index, gateway->store_refuses_ns);
-}
-
-/* Cuts the messages between two gateways, or heals them. */
-static void
-toggle_cut(GatewayFleet *sim, uint32_t left, uint32_t right)
-{
-    bool cut = sim->fleet->cut[left * FLEET_GATEWAYS + right];
-
-    HrFleet_Cut(sim->fleet, left, right, !cut);
-    if (cut) {
-        end_trouble(sim, left);
-        end_trouble(sim, right);
-    }
-    else {
-        note_trouble(sim, left, HR_TIME_NEVER - 1);
-        note_trouble(sim, right, HR_TIME_NEVER - 1);
-    }
-}
-
-/* Pauses a gateway. */
-static void
-pause_gateway(GatewayFleet *sim, uint32_t index)
-{
-    FleetGateway *gateway = &sim->gateways[index];
-    int64_t pause_ns = HrRng_ExponentialNs(&sim->rng, 3 * HR_NS_PER_S);
-
-    if (sim->fleet->daemons[index].paused_until_ns > sim->fleet->now_ns) {
-        return;
-    }
-    pause_ns = pause_ns < PAUSE_MAX_NS ? pause_ns : PAUSE_MAX_NS;
-    gateway->paused_at_ns = sim->fleet->now_ns;
-    gateway->resumed_ns = sim->fleet->now_ns + pause_ns;
-    gateway->pause_noted = false;
-    HrFleet_Pause(sim->fleet, index, gateway->resumed_ns);
-    note_trouble(sim, index, gateway->resumed_ns);
-    HrFleet_Trace(sim->fleet, "g%u pauses for %.1f s", index,
-                  (double)(gateway->resumed_ns - gateway->paused_at_ns) /
-                      HR_NS_PER_S);
-}
-
-/* Makes the store fail in one of its ways. */
-static void
-fail_store(GatewayFleet *sim)
-{
-    int64_t until_ns =
-        sim->fleet->now_ns + HrRng_ExponentialNs(&sim->rng, 3 * HR_NS_PER_S);
-    uint32_t index = (uint32_t)HrRng_Below(&sim->rng, FLEET_GATEWAYS);
-
-    switch (HrRng_Below(&sim->rng, 4)) {
-    case 0:
-        sim->store_down_until_ns = until_ns;
-        sim->store_lapses = HrRng_Chance(&sim->rng, 0.5);
-        break;
-    case 1:
-        sim->store_slow_until_ns = until_ns;
-        break;
-    case 2:
-        sim->gateways[index].store_refuses_ns = until_ns;
-        HrFleet_Trace(sim->fleet, "the store refuses g%u until %.1f s", index,
-                      (double)until_ns / HR_NS_PER_S);
-        note_trouble(sim, index, until_ns);
-        return;
-    default:
-        sim->answers_lost = sim->answers_lost > 0 ? 0 : 0.4;
-        until_ns = sim->fleet->now_ns;
-        break;
-    }
-    if (until_ns > sim->store_trouble_ns) {
-        sim->store_trouble_ns = until_ns;
-    }
-    HrFleet_Trace(sim->fleet, "the store fails until %.1f s",
-                  (double)until_ns / HR_NS_PER_S);
-}
-
-/* Restarts a gateway, gently or not, perhaps after its wall clock jumped. */
-static void
-restart_gateway(GatewayFleet *sim, uint32_t index)
-{
-    if (HrRng_Chance(&sim->rng, 0.4)) {
-        HrFleet_Trace(sim->fleet, "g%u is told to stop", index);
-        note_trouble(sim, index, sim->fleet->now_ns);
-        if (!sim->gateways[index].leaving &&
-            sim->fleet->daemons[index].paused_until_ns <= sim->fleet->now_ns) {
-            FleetGateway_Stop(sim, index);
-        }
-        return;
-    }
-    HrFleet_Trace(sim->fleet, "g%u is killed", index);
-    FleetGateway_Crash(sim, index);
-    if (HrRng_Chance(&sim->rng, 0.5)) {
-        sim->fleet->daemons[index].wall_offset_ms =
-            (int64_t)HrRng_Below(&sim->rng, 20000) - 10000;
-    }
-}
-
-/* Lets one fault or planned change happen. */
-static void
-disturb(GatewayFleet *sim)
-{
-    uint32_t index = (uint32_t)HrRng_Below(&sim->rng, FLEET_GATEWAYS);
-    FleetServer *server = choose_server(sim);
-    uint32_t kind = (uint32_t)HrRng_Below(&sim->rng, FAULT_KINDS);
-
-    if ((sim->kinds & 1u << kind) == 0) {
-        return;
-    }
-    switch (kind) {
-    case 0:
-    case 1:
-        if (server != NULL) {
-            leave_server(sim, server);
-        }
-        break;
-    case 2:
-        if (server != NULL) {
-            crash_server(sim, server);
-        }
-        break;
-    case 3:
-        reuse_address(sim);
-        break;
-    case 4:
-        if (sim->fleet->daemons[index].up) {
-            pause_gateway(sim, index);
-        }
-        break;
-    case 5:
-        fail_store(sim);
-        break;
-    case 6:
-        if (sim->fleet->daemons[index].up) {
-            restart_gateway(sim, index);
-        }
-        break;
-    case 7:
-        toggle_cut(sim, index, (index + 1) % FLEET_GATEWAYS);
-        break;
-    case 8:
-        sim->shedding_until_ns =
-            sim->fleet->now_ns +
-            HrRng_ExponentialNs(&sim->rng, 5 * HR_NS_PER_S);
-        HrFleet_Trace(sim->fleet, "servers shed until %.1f s",
-                      (double)sim->shedding_until_ns / HR_NS_PER_S);
-        break;
-    default:
-        write_routes(sim);
-        break;
-    }
-}
-
 /* Moves the entry of one server. */
 static void
 tick_server(GatewayFleet *sim, FleetServer *server)
@@ -568,7 +289,7 @@
         }
         return;
     }
-    if (!store_is_up(sim)) {
+    if (!FleetWorld_StoreIsUp(sim)) {
         if (sim->store_lapses && HrRng_Chance(&sim->rng, 0.01)) {
             server->listed = false;
         }
@@ -621,7 +342,7 @@
         tick_server(sim, &sim->servers[i]);
     }
     if (!sim->quiet && HrRng_Chance(&sim->rng, 0.2)) {
-        disturb(sim);
+        FleetFaults_Disturb(sim);
     }
     for (i = 0; i < FLEET_GATEWAYS; i++) {
         if (!sim->fleet->daemons[i].up && HrRng_Chance(&sim->rng, 0.08)) {
