Leave room in the limit of repeats for processes that know nothing

Load pattern: servers of every shard begin to shed, the repeats of a window are spent within seconds, and all processes are killed. The new ones do not know what was spent and took 0.85 of the ratio again. A process that is younger than a window now uses a quarter of the limit, an older one three quarters. Both together stay within the limit whatever the order of restarts. The slack of a young process still grows from nothing. Ruled out: a limit over half a window as well, which leaves an excess for restarts at other moments of the window.

Test: test_restart_after_a_surge (fails before).

--- a/src/coord-repeat.c
+++ b/src/coord-repeat.c
@@ -1,18 +1,14 @@
 #include "coord-repeat.h"
 
-/* Share of the ratio that is used: the window of the limit and the one
- * counted here do not begin at the same moment. */
-#define RATIO_SHARE 0.85
+/* Share of the limit that is used by a process that has run for a window and
+ * so knows what it has spent. */
+#define KNOWN_SHARE 0.75
 
-/* Share of the slack that is used once a process has run for a window and so
- * knows what it has spent. What is left is for processes that do not. */
-#define SLACK_SHARE 0.75
-
-/* A younger process does not know what the one before it has spent, so its
- * share grows from nothing to this one. However often processes are restarted
- * within a window, their shares add up to this one at most, beside that of the
- * process that ran before the window. */
-#define SLACK_FRESH_SHARE (1 - SLACK_SHARE)
+/* Share that is used by a younger process, which does not know what the one
+ * before it has spent. Of the slack this share grows from nothing, so that
+ * processes that are restarted again and again within a window do not get it
+ * each time. Both shares together stay within the limit. */
+#define FRESH_SHARE 0.25
 
 /* Share of the limit that hedges may use. Without a retry a failed part is
  * missing; without a hedge it is late. A quarter as much as hedges may use is
@@ -56,16 +52,20 @@
     repeat->request_sum++;
 }
 
-/* Returns the share of the slack that may be used now. */
+/* Returns how many repeats may be in the window. */
 static double
-slack_share(const HrRepeatLimits *limits, int64_t now_ns)
+permitted(const HrRepeat *repeat, const HrRepeatLimits *limits, int64_t now_ns)
 {
+    uint32_t daemons = limits->daemon_count > 0 ? limits->daemon_count : 1;
     int64_t uptime_ns = now_ns - limits->started_ns;
+    double by_ratio = limits->ratio * repeat->request_sum;
+    double slack = limits->slack / daemons;
 
     if (uptime_ns >= limits->window_ns) {
-        return SLACK_SHARE;
+        return KNOWN_SHARE * (by_ratio + slack);
     }
-    return SLACK_FRESH_SHARE * (double)uptime_ns / (double)limits->window_ns;
+    return FRESH_SHARE *
+           (by_ratio + slack * (double)uptime_ns / (double)limits->window_ns);
 }
 
 /* Takes the right to repeat within a share of the limit. */
@@ -73,13 +73,8 @@
 take(HrRepeat *repeat, const HrRepeatLimits *limits, double share,
      int64_t now_ns)
 {
-    uint32_t daemons = limits->daemon_count > 0 ? limits->daemon_count : 1;
-    double limit;
-
     advance(repeat, limits, now_ns);
-    limit = RATIO_SHARE * limits->ratio * repeat->request_sum +
-            slack_share(limits, now_ns) * limits->slack / daemons;
-    if (repeat->repeat_sum + 1 > share * limit) {
+    if (repeat->repeat_sum + 1 > share * permitted(repeat, limits, now_ns)) {
         return false;
     }
     repeat->repeats[repeat->bucket % HR_REPEAT_BUCKETS]++;
--- a/src/daemon-gateway-feed.c
+++ b/src/daemon-gateway-feed.c
@@ -461,6 +461,9 @@
              watch_wait_ms(feed) < routes->wait_ms) {
         /* The one that waited for a short time is gone, and until now nothing
          * showed whether the connections of this daemon are silent. */
+        HrLog_Write(feed->gateway->log, HR_LOG_INFO, "routes_watch_taken_over",
+                    "{s:I}", "after_revision",
+                    (json_int_t)routes->after_revision);
         HrStoreCaller_Cancel(routes->caller);
         HrStoreCaller_DoubtIdle(routes->caller);
         run_routes(feed);
--- a/tests/test-repeat.c
+++ b/tests/test-repeat.c
@@ -129,6 +129,43 @@
     play_restarts(denser);
 }
 
+/* Load pattern: servers begin to fail, all repeats of a window are spent at
+ * once, and then all daemons are killed and go on at new processes, which
+ * forget what they spent. Guards against more repeats than the service allows
+ * in a window around the restart. Seen on a day of Tasqyn whose processes were
+ * all killed 3 s after servers had begun to shed. */
+static void
+test_restart_after_a_surge(void **state)
+{
+    int64_t surge_ns;
+
+    (void)state;
+    for (surge_ns = HR_NS_PER_S; surge_ns < WINDOW_NS;
+         surge_ns += HR_NS_PER_S) {
+        HrRepeat repeats[DAEMONS] = {0};
+        HrRepeatLimits limits = {WINDOW_NS, SERVICE_RATIO, SERVICE_SLACK,
+                                 DAEMONS, 0};
+        int64_t start_ns = 40 * HR_NS_PER_S, now_ns = 20 * HR_NS_PER_S;
+        uint32_t count = 0, at = 0;
+
+        while (now_ns < start_ns + 20 * HR_NS_PER_S) {
+            now_ns += 5 * HR_NS_PER_MS;
+            at = (at + 1) % DAEMONS;
+            if (limits.started_ns == 0 && now_ns > start_ns + surge_ns) {
+                memset(repeats, 0, sizeof(repeats));
+                limits.started_ns = now_ns;
+            }
+            HrRepeat_NoteRequest(&repeats[at], &limits, now_ns);
+            events[count++] = (Event){now_ns, false};
+            while (now_ns > start_ns &&
+                   HrRepeat_TakeForRetry(&repeats[at], &limits, now_ns)) {
+                events[count++] = (Event){now_ns, true};
+            }
+        }
+        check_windows(count);
+    }
+}
+
 /* Notes the requests of a busy service at one moment. */
 static void
 note_requests(HrRepeat *repeat, const HrRepeatLimits *limits)
@@ -216,6 +253,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_daemons_together_keep_the_limit),
         cmocka_unit_test(test_restarts_in_quick_succession),
+        cmocka_unit_test(test_restart_after_a_surge),
         cmocka_unit_test(test_hedges_leave_a_reserve),
         cmocka_unit_test(test_optional_hedges_stop_first),
         cmocka_unit_test(test_the_window_slides),
