--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -77,7 +77,7 @@
 static void
 test_routes_despite_silent_links(void **state)
 {
-    TestRelay *relays[GATEWAYS_MAX];
+    TestRelay *relays[GATEWAYS_MAX] = {NULL};
     TestSite site;
     uint32_t i;
     int status;
@@ -97,7 +97,7 @@
 static void
 test_routes_after_first_watcher_died(void **state)
 {
-    TestRelay *relays[GATEWAYS_MAX];
+    TestRelay *relays[GATEWAYS_MAX] = {NULL};
     TestSite site;
     int status;
 
@@ -116,7 +116,7 @@
 static void
 test_routes_after_outage_and_lost_watchers(void **state)
 {
-    TestRelay *relays[GATEWAYS_MAX];
+    TestRelay *relays[GATEWAYS_MAX] = {NULL};
     TestSite site;
     uint32_t i;
     int status;
