--- a/src/daemon-gateway-feed.c
+++ b/src/daemon-gateway-feed.c
@@ -89,7 +89,6 @@
 must_watch_routes(const HrGatewayFeed *feed)
 {
     const HrGateway *gateway = feed->gateway;
-
     uint32_t rank = HrGatewayFeed_Rank(feed);
 
     return gateway->table == NULL || rank < ROUTE_WATCHERS ||
