Give each run of a case loopback addresses of its own

Cases that ran at the same time shared addresses, and one run ended with status 2 because a gateway did not become ready; the cause is taken to be a port that two cases had chosen.

--- a/review/site.c
+++ b/review/site.c
@@ -1017,15 +1017,20 @@
     start_thread(run_store, (void *)(intptr_t)store_fd);
     start_thread(run_leases, NULL);
     site_gateway_count = count;
-    control_port = find_free_port("127.0.0.11");
-    peer_port = find_free_port("127.0.0.11");
     for (i = 0; i < count; i++) {
         Gateway *gateway = &site_gateways[i];
 
         snprintf(gateway->name, sizeof(gateway->name), "frontend-%u", i + 1);
         snprintf(gateway->zone, sizeof(gateway->zone), "%s", zones[i]);
-        snprintf(gateway->address, sizeof(gateway->address), "127.0.0.%u",
-                 11 + i);
+        /* Loopback addresses of this process, so that the ports that all its
+         * gateways share are not in use by another case. */
+        snprintf(gateway->address, sizeof(gateway->address), "127.%u.%u.%u",
+                 1 + (unsigned int)getpid() / 250 % 250,
+                 1 + (unsigned int)getpid() % 250, 11 + i);
+        if (i == 0) {
+            control_port = find_free_port(gateway->address);
+            peer_port = find_free_port(gateway->address);
+        }
         gateway->caller_port = find_free_port(gateway->address);
         gateway->readiness_port = find_free_port(gateway->address);
         gateway->directory_port = find_free_port(gateway->address);
