--- a/src/coord-forward-end.c
+++ b/src/coord-forward-end.c
@@ -202,7 +202,8 @@
         return;
     }
     if (forward->done_count >= forward->required_count &&
-        (pending_count == 0 || now_ns >= forward->partial_due_ns)) {
+        (pending_count == 0 || now_ns >= forward->partial_due_ns ||
+         now_ns >= forward->answer_due_ns)) {
         HrForward_FinishRequest(
             forward, shards ? HR_FORWARD_END_MERGE : HR_FORWARD_END_PASS_ON,
             pending_count == 0 ? HR_FORWARD_REASON_COMPLETE
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -697,6 +697,24 @@
     }
 }
 
+/* Guards against a request to shards that fails at its deadline, although the
+ * required shards have answered. It happened if the deadline was earlier than
+ * the target time. */
+static void
+test_deadline_merges_the_required_shards(void **state)
+{
+    Simulation sim;
+
+    init_simulation(&sim, *state, HR_FORWARD_SHARDS, 6, 1, 1);
+    sim.route.timeout_ms = 60;
+    start_request(&sim, *state);
+    set_outcomes(&sim, 10 * MS, 3);
+    while (sim.finished == 0) {
+        run_next_event(&sim);
+    }
+    assert_int_equal(sim.end, HR_FORWARD_END_MERGE);
+}
+
 int
 main(void)
 {
@@ -711,6 +729,7 @@
         cmocka_unit_test(test_hedges_stop_at_the_repeat_limit),
         cmocka_unit_test(test_no_hedge_to_an_overloaded_server),
         cmocka_unit_test(test_split_meets_its_weights),
+        cmocka_unit_test(test_deadline_merges_the_required_shards),
     };
 
     return cmocka_run_group_tests(tests, TestParent_Create, TestParent_Free);
