--- a/src/coord-forward-end.c
+++ b/src/coord-forward-end.c
@@ -18,7 +18,7 @@
 
 static const char *const reason_names[] = {
     "complete", "enough",   "no_server", "attempts",
-    "budget",   "deadline", "left",
+    "budget",   "deadline", "left",      "stopping",
 };
 
 /* Returns the name of a reason for logs. */
@@ -173,8 +173,8 @@
 }
 
 /* Returns true if any attempt may have run on a server. */
-static bool
-may_have_run(const HrForward *forward)
+bool
+HrForward_MayHaveRun(const HrForward *forward)
 {
     uint32_t i;
 
@@ -212,14 +212,27 @@
     }
     else if (forward->done_count + pending_count < forward->required_count) {
         HrForward_FinishRequest(forward,
-                                may_have_run(forward) ? HR_FORWARD_END_FAIL
-                                                      : HR_FORWARD_END_REFUSE,
+                                HrForward_MayHaveRun(forward)
+                                    ? HR_FORWARD_END_FAIL
+                                    : HR_FORWARD_END_REFUSE,
                                 reason, now_ns);
     }
     else if (now_ns >= forward->answer_due_ns) {
         HrForward_FinishRequest(forward,
-                                may_have_run(forward) ? HR_FORWARD_END_TIMEOUT
-                                                      : HR_FORWARD_END_REFUSE,
-                                HR_FORWARD_REASON_DEADLINE, now_ns);
+                                HrForward_MayHaveRun(forward)
+                                    ? HR_FORWARD_END_TIMEOUT
+                                    : HR_FORWARD_END_REFUSE,
+                                forward->due_reason, now_ns);
     }
 }
+
+bool
+HrForward_RefuseIfTooLate(HrForward *forward, int64_t now_ns)
+{
+    if (!forward->finished && now_ns > forward->last_start_ns &&
+        !HrForward_MayHaveRun(forward)) {
+        HrForward_FinishRequest(forward, HR_FORWARD_END_REFUSE,
+                                HR_FORWARD_REASON_STOPPING, now_ns);
+    }
+    return forward->finished;
+}
--- a/src/coord-forward-int.h
+++ b/src/coord-forward-int.h
@@ -15,9 +15,12 @@
     uint32_t required_count; /* units that must be done for a success */
     uint32_t max_attempts;
     int64_t median_ns;
-    int64_t partial_due_ns; /* when to answer if the required units are
-                               done */
-    int64_t answer_due_ns;  /* when to answer in any case */
+    int64_t partial_due_ns;     /* when to answer if the required units are
+                                   done */
+    int64_t answer_due_ns;      /* when to answer in any case */
+    int64_t last_start_ns;      /* a request that has not run is refused after
+                                   this, because the process is stopping */
+    HrForwardReason due_reason; /* why answer_due_ns is not later */
     HrForwardAction *actions;
     uint32_t action_count;
     uint32_t action_next;
@@ -32,6 +35,17 @@
 /* Sets the times at which the answer is due, and the median latency. */
 void HrForward_SetDueTimes(HrForward *forward);
 
+/* Sets the time by which the process stops: the request is answered by then,
+ * and it is not started later than an answer can be expected. */
+void HrForward_LimitToStop(HrForward *forward, int64_t answer_by_ns);
+
+/* Returns true if any attempt may have run on a server. */
+bool HrForward_MayHaveRun(const HrForward *forward);
+
+/* Refuses a request that has not run if the process stops before an answer can
+ * be expected. Returns true if the request has ended. */
+bool HrForward_RefuseIfTooLate(HrForward *forward, int64_t now_ns);
+
 /* Appends an action. Returns NULL if there is not enough memory. */
 HrForwardAction *HrForward_PushAction(HrForward *forward,
                                       HrForwardActionKind kind, uint32_t unit,
--- a/src/coord-forward-plan.c
+++ b/src/coord-forward-plan.c
@@ -11,6 +11,14 @@
 /* The answer is finished this long before the caller's deadline. */
 #define DEADLINE_MARGIN_NS (15 * HR_NS_PER_MS)
 
+/* While the process is stopping, a request is started only if the time left is
+ * enough for this share of the route's answers: another gateway can serve it
+ * at once, whereas one that is broken off has lost the time left. */
+#define STOP_QUANTILE 0.9
+
+/* With fewer recorded answers the route's target time is used instead. */
+#define STOP_MIN_SAMPLES 8
+
 /* Chooses a target of a split by weight. The fractional parts of multiples of
  * the golden ratio are spread evenly over [0, 1) from any random start. So the
  * shares match the weights over short series too, and after restarts. */
@@ -95,9 +103,36 @@
         forward->answer_due_ns = config->received_ns + timeout_ns;
     }
     forward->answer_due_ns -= DEADLINE_MARGIN_NS;
+    forward->due_reason = HR_FORWARD_REASON_DEADLINE;
+    forward->last_start_ns = HR_TIME_NEVER;
     forward->median_ns = HrServerSet_GetRouteMedianNs(
         config->servers, route->name, forward->stats);
     if (target_ns > 0 && forward->median_ns > target_ns) {
         forward->median_ns = target_ns;
     }
+    if (config->answer_by_ns != 0) {
+        HrForward_LimitToStop(forward, config->answer_by_ns);
+    }
+}
+
+/* Returns the time that most answers of the request's route have taken. */
+static int64_t
+estimate_answer_ns(const HrForward *forward)
+{
+    const HrLatency *answer = &forward->stats->answer;
+
+    return answer->hist.count >= STOP_MIN_SAMPLES
+               ? HrLatency_Quantile(answer, STOP_QUANTILE)
+               : (int64_t)forward->config.route->target_ms * HR_NS_PER_MS;
+}
+
+void
+HrForward_LimitToStop(HrForward *forward, int64_t answer_by_ns)
+{
+    if (answer_by_ns >= forward->answer_due_ns) {
+        return;
+    }
+    forward->answer_due_ns = answer_by_ns;
+    forward->due_reason = HR_FORWARD_REASON_STOPPING;
+    forward->last_start_ns = answer_by_ns - estimate_answer_ns(forward);
 }
--- a/src/coord-forward.c
+++ b/src/coord-forward.c
@@ -102,9 +102,13 @@
 try_unit(HrForward *forward, uint32_t index, int64_t now_ns)
 {
     HrForwardUnit *unit = &forward->units[index];
+    HrReplica *replica;
     bool any_usable;
-    HrReplica *replica = pick_server(forward, unit, now_ns, &any_usable);
 
+    if (HrForward_RefuseIfTooLate(forward, now_ns)) {
+        return;
+    }
+    replica = pick_server(forward, unit, now_ns, &any_usable);
     if (replica != NULL) {
         start_attempt(forward, index, replica,
                       unit->attempt_count > 0 ? HR_FORWARD_CAUSE_RETRY
@@ -328,6 +332,10 @@
                                 HR_FORWARD_REASON_CALLER_DISCONNECTED,
                                 event->now_ns);
         break;
+    case HR_FORWARD_EVENT_STOPPING:
+        HrForward_LimitToStop(forward, event->u.answer_by_ns);
+        HrForward_RefuseIfTooLate(forward, event->now_ns);
+        break;
     }
 }
 
--- a/src/coord-forward.h
+++ b/src/coord-forward.h
@@ -29,12 +29,15 @@
      * passed before the request was received, and the time that the answer
      * takes to reach the caller. */
     int64_t spent_ns;
+    int64_t answer_by_ns; /* when the process stops at the latest; 0: it is not
+                             stopping */
 } HrForwardConfig;
 
 typedef enum HrForwardEventKind {
     HR_FORWARD_EVENT_ATTEMPT_ENDED, /* with or without an answer */
     HR_FORWARD_EVENT_TIMER,         /* the time of HrForward_GetNextTimer */
     HR_FORWARD_EVENT_CALLER_DISCONNECTED,
+    HR_FORWARD_EVENT_STOPPING, /* the process stops by answer_by_ns */
 } HrForwardEventKind;
 
 typedef struct HrForwardEvent {
@@ -47,6 +50,7 @@
             HrAttemptOutcome reply;
             HrServerSignal signal; /* in the answer; {0}: none */
         } reply;
+        int64_t answer_by_ns; /* STOPPING */
     } u;
 } HrForwardEvent;
 
@@ -83,6 +87,8 @@
     HR_FORWARD_REASON_BUDGET,    /* the limit of repeats was reached */
     HR_FORWARD_REASON_DEADLINE,
     HR_FORWARD_REASON_CALLER_DISCONNECTED,
+    HR_FORWARD_REASON_STOPPING, /* the process stops before an answer can be
+                                   expected */
 } HrForwardReason;
 
 typedef struct HrForwardAction {
--- a/src/daemon-gateway-request-int.h
+++ b/src/daemon-gateway-request-int.h
@@ -8,8 +8,6 @@
 #include "daemon-gateway-state.h"
 #include "state-records.h"
 
-typedef struct HrGatewayRequest HrGatewayRequest;
-
 /* One attempt of a unit of a request (see coord-forward.h). */
 typedef struct HrGatewayAttempt {
     HrGatewayRequest *request;
@@ -25,6 +23,7 @@
 
 /* A caller's request that is being forwarded. */
 struct HrGatewayRequest {
+    TAILQ_ENTRY(HrGatewayRequest) entry;
     HrGateway *gateway;
     HrH1Call *call;              /* NULL: the caller disconnected */
     HrSharedTable *shared_table; /* version of the routes that is used until
--- a/src/daemon-gateway-request.c
+++ b/src/daemon-gateway-request.c
@@ -19,6 +19,10 @@
  * are not known yet, or memory ran out. */
 #define NOT_READY_RETRY_NS (200 * HR_NS_PER_MS)
 
+/* Callers that are refused because all gateways stop return within the time
+ * left divided by this number. */
+#define STOP_SPREAD_DIVISOR 4
+
 /* Timeout of a request if neither the caller nor the route states one. */
 #define DEFAULT_TIMEOUT_MS 10000
 
@@ -46,6 +50,7 @@
 static void
 free_request(HrGatewayRequest *request)
 {
+    TAILQ_REMOVE(&request->gateway->requests, request, entry);
     HrLoop_RemoveTimer(request->gateway->loop, request->timer);
     HrGateway_ReleaseTable(request->gateway, request->shared_table);
     talloc_free(request);
@@ -281,6 +286,27 @@
     HrH1Call_Answer(request->call, &answer);
 }
 
+/* Returns how long a refused caller should wait. If no other gateway serves
+ * callers while this one stops, that is until this one has ended, and a random
+ * time longer so that the callers do not all return at once. */
+static int64_t
+compute_retry_after_ns(HrGateway *gateway, const HrForwardAction *action)
+{
+    int64_t now_ns = HrLoop_NowNs(gateway->loop);
+    const HrVmRecord *other;
+    int64_t left_ns;
+
+    if (gateway->answer_by_ns == 0 ||
+        HrVmSet_FindServing(gateway->vms, false, "", now_ns, &other, 1) > 0) {
+        return action->u.finish.retry_after_ns;
+    }
+    left_ns = gateway->answer_by_ns - now_ns + NOT_READY_RETRY_NS;
+    left_ns = left_ns > NOT_READY_RETRY_NS ? left_ns : NOT_READY_RETRY_NS;
+    return left_ns +
+           (int64_t)HrRng_DrawBelow(&gateway->rng,
+                                    (uint64_t)left_ns / STOP_SPREAD_DIVISOR);
+}
+
 /* Answers the caller as the state machine decided. Counts the result, and logs
  * it unless the answer is complete. */
 static void
@@ -307,7 +333,7 @@
         HrGatewayLog_RecordIncompleteRequest(request, action, 503);
         HrCounters_Add(counters, HR_COUNTER_queries_refused, 1);
         answer_with_status(request->call, 503,
-                           action->u.finish.retry_after_ns);
+                           compute_retry_after_ns(request->gateway, action));
         break;
     case HR_FORWARD_END_FAIL:
         HrGatewayLog_RecordIncompleteRequest(request, action, 502);
@@ -428,6 +454,7 @@
         talloc_free(request);
         return NULL;
     }
+    TAILQ_INSERT_TAIL(&gateway->requests, request, entry);
     return request;
 }
 
@@ -464,7 +491,8 @@
                               .table = gateway->table->table,
                               .servers = gateway->servers,
                               .rng = &gateway->rng,
-                              .received_ns = call->received_ns};
+                              .received_ns = call->received_ns,
+                              .answer_by_ns = gateway->answer_by_ns};
 
     if (request == NULL) {
         answer_with_status(call, 503, NOT_READY_RETRY_NS);
@@ -545,6 +573,24 @@
     run_actions(request);
 }
 
+/* Passes the event to one request after the other. A request that ends here
+ * may have its caller's next one started, at the end of the list. */
+void
+HrGatewayRequest_LimitAllToStop(HrGateway *gateway)
+{
+    const HrForwardEvent event = {.kind = HR_FORWARD_EVENT_STOPPING,
+                                  .now_ns = HrLoop_NowNs(gateway->loop),
+                                  .u.answer_by_ns = gateway->answer_by_ns};
+    HrGatewayRequest *request, *next;
+
+    for (request = TAILQ_FIRST(&gateway->requests); request != NULL;
+         request = next) {
+        next = TAILQ_NEXT(request, entry);
+        HrForward_HandleEvent(request->forward, &event);
+        run_actions(request);
+    }
+}
+
 uint32_t
 HrGatewayRequest_CountBusyConnections(const HrReplica *replica)
 {
--- a/src/daemon-gateway-state.h
+++ b/src/daemon-gateway-state.h
@@ -1,6 +1,7 @@
 #ifndef HR_DAEMON_GATEWAY_STATE_H
 #define HR_DAEMON_GATEWAY_STATE_H
 
+#include <bsd/sys/queue.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -33,6 +34,10 @@
  * from them. */
 typedef struct HrGatewayPeers HrGatewayPeers;
 
+/* A caller's request that is being forwarded. */
+typedef struct HrGatewayRequest HrGatewayRequest;
+TAILQ_HEAD(HrGatewayRequestList, HrGatewayRequest);
+
 /* The state of the gateway, used by its only thread. */
 typedef struct HrGateway {
     const HrGatewaySettings *settings;
@@ -62,9 +67,12 @@
     HrDrain *drain; /* state machine of the graceful shutdown */
     HrLoopTimer *drain_timer;
     HrLoopTimer *accept_timer; /* accepts callers even if not ready */
-    bool was_ready;            /* has been ready at least once */
-    bool servers_known;        /* a complete list was received once */
-    bool leaving;              /* the graceful shutdown has begun */
+    struct HrGatewayRequestList requests; /* unanswered ones of callers */
+    int64_t answer_by_ns; /* all requests are answered by then, because the
+                             process is stopping; 0: it is not */
+    bool was_ready;       /* has been ready at least once */
+    bool servers_known;   /* a complete list was received once */
+    bool leaving;         /* the graceful shutdown has begun */
 } HrGateway;
 
 /* Puts a newer version of the routes in force. document is the encoded routes
@@ -99,6 +107,9 @@
 void HrGatewayRequest_Start(void *arg, HrH1Call *call);
 void HrGatewayRequest_HandleDisconnect(void *arg, HrH1Call *call);
 
+/* Tells the open requests that the process is stopping; see answer_by_ns. */
+void HrGatewayRequest_LimitAllToStop(HrGateway *gateway);
+
 /* Returns the number of connections to a server that are in use, including
  * those of abandoned attempts. */
 uint32_t HrGatewayRequest_CountBusyConnections(const HrReplica *replica);
--- a/src/daemon-gateway.c
+++ b/src/daemon-gateway.c
@@ -45,8 +45,11 @@
  * The connections to servers need the other file descriptors. */
 #define LISTENER_CONNECTIONS_DIVISOR 2
 
-/* Safety margin: the shutdown ends this long before SIGKILL is due. */
+/* Safety margin before SIGKILL is due: the last requests are answered this
+ * long before, or a quarter of the grace time if that is less. The process
+ * exits at half of the margin, by when these answers are written. */
 #define STOP_MARGIN_NS (500 * HR_NS_PER_MS)
+#define STOP_MARGIN_DIVISOR 4
 
 /* Callers use the addresses from an answer of the directory for this time, and
  * some of them for three times as long. With a longer time a failed daemon
@@ -54,11 +57,11 @@
  * two round trips for each query of the directory. */
 #define DIRECTORY_TTL_S 2.0
 
-/* After SIGTERM requests are still accepted for the directory's time times
+/* After SIGTERM connections are still accepted for the directory's time times
  * this factor, until most callers have replaced their addresses. One that uses
  * them for three times the stated time is refused its connection afterwards,
- * and uses another address; the rest of the grace time is for open requests.
- */
+ * and uses another address. Open connections can be used until the process
+ * exits. */
 #define DIRECTORY_EXPIRY_FACTOR 1.75
 
 /* A starting daemon normally receives routes and servers within this time,
@@ -263,11 +266,50 @@
     }
 }
 
-/* Returns the number of callers' requests that are not answered yet. */
+/* Returns the number of callers' requests that are being received or are not
+ * answered yet. */
 static uint32_t
 count_open_requests(const HrGateway *gateway)
 {
-    return HrH1Server_GetOpenCallCount(gateway->caller_listener);
+    return HrH1Server_GetOpenCallCount(gateway->caller_listener) +
+           HrH1Server_CountIncomingRequests(gateway->caller_listener);
+}
+
+/* Returns true if no request is open. Before that, closes the idle
+ * connections of callers, which may have received more requests. */
+static bool
+is_finished(HrGateway *gateway)
+{
+    if (count_open_requests(gateway) > 0) {
+        return false;
+    }
+    HrH1Server_Close(gateway->caller_listener);
+    return count_open_requests(gateway) == 0;
+}
+
+/* Returns how long before SIGKILL the last requests are answered. */
+static int64_t
+get_stop_margin_ns(int64_t grace_ns)
+{
+    return grace_ns / STOP_MARGIN_DIVISOR < STOP_MARGIN_NS
+               ? grace_ns / STOP_MARGIN_DIVISOR
+               : STOP_MARGIN_NS;
+}
+
+/* Leaves the directory, and has all requests answered before SIGKILL is due.
+ */
+static void
+begin_leaving(HrGateway *gateway, int64_t now_ns)
+{
+    int64_t grace_ns =
+        (int64_t)(gateway->settings->stop_grace_s * HR_NS_PER_S);
+
+    gateway->leaving = true;
+    gateway->answer_by_ns = now_ns + grace_ns - get_stop_margin_ns(grace_ns);
+    HrGatewayFeed_RemoveOwnEntry(gateway->feed);
+    HrGatewayPeers_AnnounceStatus(gateway->peers);
+    HrH1Server_Drain(gateway->caller_listener);
+    HrGatewayRequest_LimitAllToStop(gateway);
 }
 
 /* Passes an event to the state machine of the shutdown and runs its actions.
@@ -282,23 +324,24 @@
 
     /* The number of open requests is updated first; by an outdated number the
      * event could end a step too early. */
-    open.u.open = count_open_requests(gateway);
+    open.u.open = HrDrain_GetStep(gateway->drain) == HR_DRAIN_FINISHING &&
+                          is_finished(gateway)
+                      ? 0
+                      : count_open_requests(gateway);
     HrDrain_HandleEvent(gateway->drain, &open);
     HrDrain_HandleEvent(gateway->drain, event);
     while (HrDrain_PopAction(gateway->drain, &action)) {
         switch (action.kind) {
         case HR_DRAIN_ACTION_LEAVE:
-            gateway->leaving = true;
-            HrGatewayFeed_RemoveOwnEntry(gateway->feed);
-            HrGatewayPeers_AnnounceStatus(gateway->peers);
-            HrH1Server_Drain(gateway->caller_listener);
+            begin_leaving(gateway, event->now_ns);
             break;
         case HR_DRAIN_ACTION_REFUSE_NEW:
-            HrH1Server_Close(gateway->caller_listener);
+            HrH1Server_StopListening(gateway->caller_listener);
             break;
         case HR_DRAIN_ACTION_HAND_OVER:
             break;
         case HR_DRAIN_ACTION_EXIT:
+            HrH1Server_Close(gateway->caller_listener);
             HrLog_Write(gateway->log, HR_LOG_INFO, "drained", "{s:i}",
                         "interrupted", (int)action.u.interrupted);
             HrLoop_Stop(gateway->loop);
@@ -455,11 +498,11 @@
         .keep_ns = (int64_t)(HrGateway_GetDirectoryTtlS(settings) *
                              DIRECTORY_EXPIRY_FACTOR * HR_NS_PER_S)};
 
-    drain.finish_limit_ns = stop_ns - drain.keep_ns - STOP_MARGIN_NS;
-    if (drain.finish_limit_ns < 0) {
+    if (drain.keep_ns > stop_ns / 2 + stop_ns / STOP_MARGIN_DIVISOR) {
         drain.keep_ns = stop_ns / 2;
-        drain.finish_limit_ns = drain.keep_ns / 2;
     }
+    drain.finish_limit_ns =
+        stop_ns - drain.keep_ns - get_stop_margin_ns(stop_ns) / 2;
     fill_own_record(gateway);
     gateway->servers = HrServerSet_Create(
         gateway, &servers, HrGatewayRequest_CloseConnections, gateway);
@@ -528,6 +571,7 @@
     gateway->settings_path = path;
     gateway->clock = HrClock_MakeSystem();
     gateway->rng = HrRng_FromSystem();
+    TAILQ_INIT(&gateway->requests);
     gateway->log = HrLog_Create(gateway, STDOUT_FILENO, settings->log_level,
                                 &gateway->clock, &gateway->counters);
     gateway->loop = HrLoop_Create(gateway, &gateway->clock);
--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -146,6 +146,15 @@
     return rc == HR_OK ? HrBuffer_Append(out, "\r\n", 2) : rc;
 }
 
+/* Returns true if the connection is closed after the current answer because
+ * the listener is draining. Requests that have been received already are
+ * answered first. */
+static bool
+is_drained(const HrH1Conn *conn)
+{
+    return conn->server->draining && HrBuffer_GetLength(&conn->pending) == 0;
+}
+
 /* Sends an answer. What the socket does not accept now is sent when it is
  * writable. */
 static void
@@ -153,8 +162,7 @@
 {
     HrBytes body = answer->body;
 
-    conn->keep_alive =
-        conn->keep_alive && !answer->close && !conn->server->draining;
+    conn->keep_alive = conn->keep_alive && !answer->close && !is_drained(conn);
     HrH1Conn_SetState(conn, HR_H1_CONN_WRITING);
     if (conn->call.method != NULL && strcmp(conn->call.method, "HEAD") == 0) {
         body.length_bytes = 0;
--- a/src/trans-h1-server.c
+++ b/src/trans-h1-server.c
@@ -210,22 +210,29 @@
     }
 }
 
-/* From now on, closes each connection after its next answer. */
+/* From now on, closes each connection after its next answer, or after the last
+ * one of the requests that were received together. */
 void
 HrH1Server_Drain(HrH1Server *server)
 {
     server->draining = true;
 }
 
-/* Reads what has been received on connections that wait to be accepted or are
- * idle: it may contain requests. */
+/* Closes the listening socket, after accepting the connections that wait. */
+void
+HrH1Server_StopListening(HrH1Server *server)
+{
+    while (!server->closed && accept_conn(server)) {
+    }
+    close_listener(server);
+}
+
+/* Reads what idle connections have received: it may contain requests. */
 static void
-read_waiting_requests(HrH1Server *server)
+read_idle_conns(HrH1Server *server)
 {
     HrH1Conn *conn, *next;
 
-    while (accept_conn(server)) {
-    }
     for (conn = TAILQ_FIRST(&server->conns); conn != NULL; conn = next) {
         next = TAILQ_NEXT(conn, entry);
         if (conn->state == HR_H1_CONN_IDLE) {
@@ -240,20 +247,30 @@
 {
     HrH1Conn *conn, *next;
 
-    if (server->closed) {
-        return;
-    }
-    read_waiting_requests(server);
-    close_listener(server);
+    HrH1Server_StopListening(server);
+    read_idle_conns(server);
     for (conn = TAILQ_FIRST(&server->conns); conn != NULL; conn = next) {
         next = TAILQ_NEXT(conn, entry);
-        if (conn->state == HR_H1_CONN_IDLE ||
-            conn->state == HR_H1_CONN_LINGERING) {
+        if (conn->state == HR_H1_CONN_IDLE) {
             HrH1Conn_Close(conn);
         }
     }
 }
 
+/* Returns the number of requests that have been received in part. */
+uint32_t
+HrH1Server_CountIncomingRequests(const HrH1Server *server)
+{
+    const HrH1Conn *conn;
+    uint32_t count = 0;
+
+    for (conn = TAILQ_FIRST(&server->conns); conn != NULL;
+         conn = TAILQ_NEXT(conn, entry)) {
+        count += conn->state == HR_H1_CONN_READING;
+    }
+    return count;
+}
+
 /* Returns the number of requests that were received and not answered
  * completely yet. */
 uint32_t
--- a/src/trans-h1-server.h
+++ b/src/trans-h1-server.h
@@ -69,12 +69,22 @@
  * accepting them again. */
 void HrH1Server_SetPaused(HrH1Server *server, bool paused);
 
-/* From now on, closes each connection after its next answer. */
+/* From now on, closes each connection after its next answer, or after the last
+ * one of the requests that were received together. */
 void HrH1Server_Drain(HrH1Server *server);
 
-/* Closes the listening socket, and the connections without a request. */
+/* Closes the listening socket, after accepting the connections that wait. Open
+ * connections can still be used. */
+void HrH1Server_StopListening(HrH1Server *server);
+
+/* Closes the listening socket, and the connections without a request after
+ * reading what they have received. May be called again for connections that
+ * became idle since. */
 void HrH1Server_Close(HrH1Server *server);
 
+/* Returns the number of requests that have been received in part. */
+uint32_t HrH1Server_CountIncomingRequests(const HrH1Server *server);
+
 /* Returns the number of requests that were received and not answered
  * completely yet. */
 uint32_t HrH1Server_GetOpenCallCount(const HrH1Server *server);
--- a/tests/common-gateway-callers.c
+++ b/tests/common-gateway-callers.c
@@ -15,27 +15,30 @@
 #include "base-rng.h"
 #include "common-process.h"
 
-#define CALLER_COUNT 6
+#define DEFAULT_CALLERS 6
+#define DEFAULT_DEADLINE_MS 4000
 #define REQUEST_PERIOD_MS 4
 #define LIST_TTL_MS INT64_C(2000)
 #define RECORD_BYTES 16
 #define RECORDS_PER_SHARD 3
 #define RESULT_LIMIT 4
 #define SHARDS_MAX 16
-/* The longest timeout of the routes of the site, and the further delay that an
- * answer may have on a busy machine. */
-#define ROUTE_TIMEOUT_MS 2000
+/* The longest timeout of the usual routes of the site, and the further delay
+ * that an answer may have on a busy machine. */
+#define DEFAULT_TIMEOUT_MS 2000
 #define LATE_ANSWER_MS 1500
 /* If a connection ends sooner than this after a request was sent, the gateway
  * may have closed it before it read the request. */
 #define CLOSE_RACE_MS 150
 #define REFUSED_MAX 4096
+#define UNANSWERED_MAX 256
 
 struct TestGatewayCallers {
     const TestSite *site;
+    TestCallerOptions options;
     uint32_t shard_count;
-    pthread_t threads[CALLER_COUNT];
-    uint64_t seeds[CALLER_COUNT];
+    pthread_t threads[TEST_CALLERS_MAX];
+    uint64_t seeds[TEST_CALLERS_MAX];
     uint32_t next_caller;
     bool stop;
     pthread_mutex_t mutex; /* guards the fields below */
@@ -44,6 +47,9 @@
     int64_t stopping_since_ms[TEST_GATEWAYS_MAX];
     char refused[REFUSED_MAX][32];
     uint32_t refused_count;
+    /* Not answered by a stopping gateway without a fault. */
+    char unanswered[UNANSWERED_MAX][32];
+    uint32_t unanswered_count;
 };
 
 /* One caller, with its thread's state. */
@@ -137,7 +143,8 @@
 static bool
 open_connection(Caller *caller)
 {
-    const struct timeval timeout = {.tv_sec = 8};
+    const struct timeval timeout = {
+        .tv_sec = caller->callers->options.deadline_ms / 1000 + 4};
     struct sockaddr_in in = {.sin_family = AF_INET,
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
 
@@ -291,7 +298,8 @@
  * answer, and one that ended late. The last two are counted only if every
  * recorded fault of the gateway ended before the request was sent. */
 static void
-check_timing(Caller *caller, const TestReply *reply, int64_t sent_ms)
+check_timing(Caller *caller, const TestReply *reply, const char *id,
+             int64_t sent_ms)
 {
     TestGatewayCallers *callers = caller->callers;
     uint32_t gateway = find_gateway_by_port(callers->site, caller->fd_port);
@@ -302,12 +310,17 @@
     is_fault_free = callers->fault_until_ms[gateway] < sent_ms;
     is_stopping = callers->stopping_since_ms[gateway] > 0;
     callers->counts.no_answer += reply->status == 0;
-    if (is_fault_free && reply->status == 0 && is_stopping &&
-        now_ms - sent_ms > CLOSE_RACE_MS) {
-        callers->counts.cut++;
+    if (is_fault_free && reply->status == 0 && is_stopping) {
+        if (now_ms - sent_ms > CLOSE_RACE_MS) {
+            callers->counts.cut++;
+        }
+        else if (callers->unanswered_count < UNANSWERED_MAX) {
+            snprintf(callers->unanswered[callers->unanswered_count++], 32,
+                     "%s", id);
+        }
     }
     if (is_fault_free &&
-        now_ms - sent_ms > ROUTE_TIMEOUT_MS + LATE_ANSWER_MS) {
+        now_ms - sent_ms > callers->options.max_timeout_ms + LATE_ANSWER_MS) {
         callers->counts.late++;
     }
     pthread_mutex_unlock(&callers->mutex);
@@ -324,7 +337,7 @@
      * status 500. */
     bool is_server_failure = reply->status == 500 && !to_shards;
 
-    check_timing(caller, reply, sent_ms);
+    check_timing(caller, reply, id, sent_ms);
     switch (reply->status) {
     case 0:
         break;
@@ -368,9 +381,10 @@
     length = snprintf(text, sizeof(text),
                       "%s HTTP/1.1\r\nHost: site.example\r\n"
                       "Hickoryrouter-Request-Id: %s\r\n"
-                      "Hickoryrouter-Request-Deadline: 4000\r\n"
+                      "Hickoryrouter-Request-Deadline: %u\r\n"
                       "Content-Length: 0\r\n\r\n",
-                      to_shards ? "GET /wide/q" : "POST /once/p", id);
+                      to_shards ? "GET /wide/q" : "POST /once/p", id,
+                      caller->callers->options.deadline_ms);
     if (send(caller->fd, text, (size_t)length, MSG_NOSIGNAL) != length) {
         close(caller->fd);
         caller->fd = -1;
@@ -412,21 +426,31 @@
     return NULL;
 }
 
+/* Sets the options for a site with its usual routes. */
+void
+TestCallerOptions_GetDefaults(TestCallerOptions *options)
+{
+    *options = (TestCallerOptions){DEFAULT_CALLERS, DEFAULT_DEADLINE_MS,
+                                   DEFAULT_TIMEOUT_MS};
+}
+
 /* Starts the threads. */
 TestGatewayCallers *
-TestGatewayCallers_Start(const TestSite *site, uint32_t service_count,
-                         uint64_t seed)
+TestGatewayCallers_Start(const TestSite *site,
+                         const TestCallerOptions *options,
+                         uint32_t service_count, uint64_t seed)
 {
     TestGatewayCallers *callers = calloc(1, sizeof(*callers));
     uint32_t i;
 
     callers->site = site;
+    callers->options = *options;
     callers->shard_count = service_count - 1;
     pthread_mutex_init(&callers->mutex, NULL);
-    for (i = 0; i < CALLER_COUNT; i++) {
-        callers->seeds[i] = seed * CALLER_COUNT + i;
+    for (i = 0; i < options->count; i++) {
+        callers->seeds[i] = seed * options->count + i;
     }
-    for (i = 0; i < CALLER_COUNT; i++) {
+    for (i = 0; i < options->count; i++) {
         pthread_create(&callers->threads[i], NULL, run_caller, callers);
     }
     return callers;
@@ -475,7 +499,7 @@
     uint32_t i;
 
     __atomic_store_n(&callers->stop, true, __ATOMIC_RELEASE);
-    for (i = 0; i < CALLER_COUNT; i++) {
+    for (i = 0; i < callers->options.count; i++) {
         pthread_join(callers->threads[i], NULL);
     }
     if (TestSite_SendControl(callers->site, "/test/runs?prefix=once-",
@@ -483,6 +507,12 @@
         record_wrong_answer(callers,
                             "a request that must run at most once ran again");
     }
+    for (i = 0; i < callers->unanswered_count; i++) {
+        snprintf(target, sizeof(target), "/test/runs?id=%s",
+                 callers->unanswered[i]);
+        callers->counts.cut +=
+            TestSite_SendControl(callers->site, target, "runs") > 0;
+    }
     for (i = 0; i < callers->refused_count; i++) {
         if (strncmp(callers->refused[i], "once-", 5) != 0) {
             continue;
--- a/tests/common-gateway-callers.h
+++ b/tests/common-gateway-callers.h
@@ -20,8 +20,9 @@
                        although every fault of the gateway had ended before the
                        request was sent */
     uint32_t cut;   /* not answered by a stopping gateway, although it had time
-                       to read the request, and every fault of it had ended
-                       before the request was sent */
+                       to read the request or has passed it on to a server, and
+                       every fault of it had ended before the request was
+                       sent */
     uint32_t wrong; /* answers with other contents than expected, and
                        requests that ran although they must not */
     char first_wrong[256]; /* describes the first one; "" if none */
@@ -29,8 +30,21 @@
 
 typedef struct TestGatewayCallers TestGatewayCallers;
 
+#define TEST_CALLERS_MAX 64
+
+/* How the callers behave. */
+typedef struct TestCallerOptions {
+    uint32_t count;          /* at most TEST_CALLERS_MAX */
+    uint32_t deadline_ms;    /* how long a caller waits for an answer */
+    uint32_t max_timeout_ms; /* the longest timeout of the site's routes */
+} TestCallerOptions;
+
+/* Sets the options for a site with its usual routes. */
+void TestCallerOptions_GetDefaults(TestCallerOptions *options);
+
 /* Starts the threads. service_count is the number of services of the site. */
 TestGatewayCallers *TestGatewayCallers_Start(const TestSite *site,
+                                             const TestCallerOptions *options,
                                              uint32_t service_count,
                                              uint64_t seed);
 
--- a/tests/common-site.h
+++ b/tests/common-site.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define TEST_GATEWAYS_MAX 4
+#define TEST_GATEWAYS_MAX 64
 
 /* A gateway process. */
 typedef struct TestGateway {
--- a/tests/fake-site.c
+++ b/tests/fake-site.c
@@ -13,13 +13,19 @@
 #include "fake-site.h"
 #include "platform-http.h"
 
+#define WIDE_TIMEOUT_MS 2000
+#define ONCE_TIMEOUT_MS 1500
+
 Site site;
 
 /* Writes the routes: /wide/ to all shards, /once/ to the last service with at
- * most one run, and optionally /extra/, also to the last service. */
+ * most one run, and optionally /extra/, also to the last service. timeout_ms:
+ * timeout of all routes; 0: WIDE_TIMEOUT_MS and ONCE_TIMEOUT_MS. */
 static void
-write_routes(bool with_extra_route)
+write_routes(bool with_extra_route, uint32_t timeout_ms)
 {
+    uint32_t wide_ms = timeout_ms > 0 ? timeout_ms : WIDE_TIMEOUT_MS;
+    uint32_t once_ms = timeout_ms > 0 ? timeout_ms : ONCE_TIMEOUT_MS;
     HrBuffer text;
     uint32_t i;
 
@@ -27,11 +33,11 @@
     HrBuffer_AppendFormat(&text,
                           "{\"version\":%llu,\"routes\":[{\"name\":\"wide\","
                           "\"host\":\"site.example\",\"prefix\":\"/wide/\","
-                          "\"routeKind\":\"safe\",\"timeoutMs\":2000,"
+                          "\"routeKind\":\"safe\",\"timeoutMs\":%u,"
                           "\"targetLatencyMs\":400,\"priority\":1,"
                           "\"maxAttempts\":2,\"resultLimit\":4,"
                           "\"minShardRatio\":0.5,\"fanoutServices\":[",
-                          (unsigned long long)++site.version);
+                          (unsigned long long)++site.version, wide_ms);
     for (i = 0; i + 1 < site.service_count; i++) {
         HrBuffer_AppendFormat(&text, "%s\"shard%u\"", i > 0 ? "," : "", i);
     }
@@ -39,17 +45,17 @@
         &text,
         "]},{\"name\":\"once\",\"host\":\"site.example\","
         "\"prefix\":\"/once/\",\"routeKind\":\"unsafe\","
-        "\"timeoutMs\":1500,\"targetLatencyMs\":400,"
+        "\"timeoutMs\":%u,\"targetLatencyMs\":400,"
         "\"priority\":1,\"maxAttempts\":2,\"service\":\"shard%u\"}",
-        site.service_count - 1);
+        once_ms, site.service_count - 1);
     if (with_extra_route) {
         HrBuffer_AppendFormat(&text,
                               ",{\"name\":\"extra\",\"host\":\"site.example\","
                               "\"prefix\":\"/extra/\",\"routeKind\":\"safe\","
-                              "\"timeoutMs\":1500,\"targetLatencyMs\":400,"
+                              "\"timeoutMs\":%u,\"targetLatencyMs\":400,"
                               "\"priority\":1,\"maxAttempts\":2,"
                               "\"service\":\"shard%u\"}",
-                              site.service_count - 1);
+                              once_ms, site.service_count - 1);
     }
     HrBuffer_AppendFormat(&text, "],\"services\":[");
     for (i = 0; i < site.service_count; i++) {
@@ -140,6 +146,7 @@
                    : strcmp(mode, "busy") == 0   ? SERVER_BUSY
                    : strcmp(mode, "leave") == 0  ? SERVER_LEAVING
                    : strcmp(mode, "pause") == 0  ? SERVER_PAUSED
+                   : strcmp(mode, "queue") == 0  ? SERVER_QUEUE
                                                  : SERVER_OK;
     return 200;
 }
@@ -197,7 +204,7 @@
 void
 FakeSite_HandleTestCall(HrH1Call *call)
 {
-    char mode[32];
+    char mode[32], timeout[16];
 
     HrPlatform_ReadQueryField(call->target, "mode", mode, sizeof(mode));
     if (strncmp(call->target, "/test/runs", 10) == 0) {
@@ -220,7 +227,10 @@
         FakeSite_SendJson(call, 200, json_object());
     }
     else {
-        write_routes(strcmp(mode, "extra") == 0);
+        HrPlatform_ReadQueryField(call->target, "timeout", timeout,
+                                  sizeof(timeout));
+        write_routes(strcmp(mode, "extra") == 0,
+                     (uint32_t)strtoul(timeout, NULL, 10));
         FakeSite_SendJson(
             call, 200,
             json_pack("{s:I}", "version", (json_int_t)site.version));
@@ -278,21 +288,64 @@
     HrH1Call_Answer(call, &answer);
 }
 
-/* Schedules the answer to a request for SLOW_ANSWER_DELAY_NS from now. */
+/* Schedules the answer to a request. */
 static void
-delay_call(Server *server, HrH1Call *call)
+delay_call(Server *server, HrH1Call *call, int64_t due_ns)
 {
     uint32_t i;
 
     for (i = 0; i < SLOW_CALLS_MAX; i++) {
         if (site.slow[i].call == NULL) {
-            site.slow[i] = (SlowCall){
-                call, server, HrLoop_NowNs(site.loop) + SLOW_ANSWER_DELAY_NS};
+            site.slow[i] = (SlowCall){call, server, due_ns};
             return;
         }
     }
 }
 
+/* Returns the slot of a server that is free first. */
+static int64_t *
+find_first_free_slot(Server *server)
+{
+    int64_t *first = &server->slot_free_ns[0];
+    uint32_t i;
+
+    for (i = 1; i < SERVER_SLOTS; i++) {
+        first = server->slot_free_ns[i] < *first ? &server->slot_free_ns[i]
+                                                 : first;
+    }
+    return first;
+}
+
+/* Returns true if the queue of a server is full. */
+static bool
+is_queue_full(const Server *server)
+{
+    uint32_t waiting = 0, i;
+
+    for (i = 0; i < SLOW_CALLS_MAX; i++) {
+        waiting += site.slow[i].call != NULL && site.slow[i].server == server;
+    }
+    return waiting >= SERVER_SLOTS + SERVER_QUEUE_LENGTH;
+}
+
+/* Schedules the answer to a request for when a slot has worked on it. */
+static void
+queue_call(Server *server, HrH1Call *call, const char *id)
+{
+    int64_t now_ns = HrLoop_NowNs(site.loop);
+    int64_t *free_ns = find_first_free_slot(server);
+    uint32_t hash = 2166136261u;
+
+    for (; *id != '\0'; id++) {
+        hash = (hash ^ (uint8_t)*id) * 16777619u;
+    }
+    *free_ns = (*free_ns > now_ns ? *free_ns : now_ns) +
+               (SERVER_WORK_MIN_MS +
+                hash % (SERVER_WORK_MAX_MS - SERVER_WORK_MIN_MS)) *
+                   HR_NS_PER_MS;
+    delay_call(server, call, *free_ns);
+}
+
 /* Answers the delayed requests that are due. */
 static void
 answer_slow_calls(int64_t now_ns)
@@ -319,8 +372,9 @@
         HrHeaders_FindValue(&call->headers, "Hickoryrouter-Request-Id");
     const char *expected =
         HrHeaders_FindValue(&call->headers, "Hickoryrouter-Expected-Instance");
-    bool declines =
-        server->mode == SERVER_SHED || server->mode == SERVER_PAUSED;
+    bool declines = server->mode == SERVER_SHED ||
+                    server->mode == SERVER_PAUSED ||
+                    (server->mode == SERVER_QUEUE && is_queue_full(server));
     HrH1Answer answer = {0};
     char head[192];
 
@@ -345,7 +399,11 @@
     case SERVER_PAUSED:
         break;
     case SERVER_SLOW:
-        delay_call(server, call);
+        delay_call(server, call,
+                   HrLoop_NowNs(site.loop) + SLOW_ANSWER_DELAY_NS);
+        break;
+    case SERVER_QUEUE:
+        queue_call(server, call, id);
         break;
     case SERVER_OK:
     case SERVER_ERROR:
@@ -450,7 +508,7 @@
         return EXIT_FAILURE;
     }
     start_servers(&limits);
-    write_routes(false);
+    write_routes(false, 0);
     site.tick_timer = HrLoop_AddTimer(site.loop, handle_tick, NULL);
     site.store = HrH1Server_Create(
         site.loop, site.loop, argv[1], CONNECTIONS_MAX, &limits,
--- a/tests/fake-site.h
+++ b/tests/fake-site.h
@@ -19,8 +19,14 @@
 #define HEARTBEAT_PERIOD_NS (500 * HR_NS_PER_MS)
 #define TICK_PERIOD_NS (20 * HR_NS_PER_MS)
 #define CONNECTIONS_MAX 512
-#define SLOW_CALLS_MAX 64
+#define SLOW_CALLS_MAX 1024
 #define SLOW_ANSWER_DELAY_NS (800 * HR_NS_PER_MS)
+/* Servers that queue requests: the number of slots, the longest queue, and the
+ * range of the time that a request takes. */
+#define SERVER_SLOTS 2
+#define SERVER_QUEUE_LENGTH 8
+#define SERVER_WORK_MIN_MS 100
+#define SERVER_WORK_MAX_MS 1300
 
 /* A key of the store with its value, or one change of a key. */
 typedef struct Item {
@@ -55,6 +61,9 @@
                     statement that it did not run */
     SERVER_LEAVING, /* runs the request and states that it is leaving */
     SERVER_PAUSED,  /* declines the request and requests a pause */
+    SERVER_QUEUE,   /* runs SERVER_SLOTS requests at once, each for a time that
+                       depends on its id, and declines those beyond its queue
+                     */
 } ServerMode;
 
 /* A server that is listed in the store. */
@@ -71,7 +80,8 @@
                              port; 0: none */
     HrH1Server *listener;
     uint32_t runs;
-    uint32_t declined; /* requests that it did not run */
+    uint32_t declined;                  /* requests that it did not run */
+    int64_t slot_free_ns[SERVER_SLOTS]; /* SERVER_QUEUE */
 } Server;
 
 /* The number of runs of the requests with one id. */
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -51,6 +51,7 @@
     int64_t retry_after_ns;
     uint32_t failure_percent;
     int64_t spent_ns;
+    int64_t answer_by_ns; /* 0: the process is not stopping */
     int64_t now_ns;
 } Simulation;
 
@@ -296,7 +297,8 @@
                           .rng = &sim->rng,
                           .received_ns = sim->now_ns,
                           .deadline_ns = sim->now_ns + 2 * HR_NS_PER_S,
-                          .spent_ns = sim->spent_ns};
+                          .spent_ns = sim->spent_ns,
+                          .answer_by_ns = sim->answer_by_ns};
     sim->forward = HrForward_Create(parent, &sim->config, sim->now_ns);
     assert_non_null(sim->forward);
     process_actions(sim);
@@ -325,6 +327,18 @@
     process_actions(sim);
 }
 
+/* Tells the request that the process stops. */
+static void
+stop_process(Simulation *sim, int64_t answer_by_ns)
+{
+    const HrForwardEvent event = {.kind = HR_FORWARD_EVENT_STOPPING,
+                                  .now_ns = sim->now_ns,
+                                  .u.answer_by_ns = answer_by_ns};
+
+    HrForward_HandleEvent(sim->forward, &event);
+    process_actions(sim);
+}
+
 /* Advances to the next event, which is the end of an attempt or a timer. */
 static void
 run_next_event(Simulation *sim)
@@ -360,7 +374,7 @@
     uint32_t services = 1 + (uint32_t)HrRng_DrawBelow(&rng, SERVICES_MAX);
     Simulation sim;
     uint32_t steps = 0;
-    int64_t disconnects_ns;
+    int64_t disconnects_ns, stops_ns, answer_by_ns = HR_TIME_NEVER;
 
     init_simulation(&sim, scratch, kind, kind == HR_FORWARD_ONE ? 1 : services,
                     (uint32_t)HrRng_DrawBelow(&rng, SERVERS_MAX + 1), seed);
@@ -372,18 +386,28 @@
     disconnects_ns = HrRng_DrawBool(&rng, 0.2)
                          ? sim.now_ns + HrRng_DrawExponentialNs(&rng, 60 * MS)
                          : HR_TIME_NEVER;
+    stops_ns = HrRng_DrawBool(&rng, 0.3)
+                   ? sim.now_ns + HrRng_DrawExponentialNs(&rng, 100 * MS)
+                   : HR_TIME_NEVER;
     start_request(&sim, scratch);
     while (sim.finished == 0) {
         if (sim.now_ns >= disconnects_ns) {
             deliver_event(&sim, HR_FORWARD_EVENT_CALLER_DISCONNECTED);
             break;
         }
+        if (sim.now_ns >= stops_ns && answer_by_ns == HR_TIME_NEVER) {
+            answer_by_ns =
+                sim.now_ns + HrRng_DrawExponentialNs(&rng, 200 * MS);
+            stop_process(&sim, answer_by_ns);
+            continue;
+        }
         run_next_event(&sim);
         assert_true(++steps < 3000);
     }
     assert_int_equal(sim.finished, 1);
     assert_true(sim.now_ns <=
                 sim.config.received_ns + (int64_t)sim.route.timeout_ms * MS);
+    assert_true(sim.now_ns <= answer_by_ns);
     talloc_free(scratch);
 }
 
@@ -715,6 +739,92 @@
     assert_int_equal(sim.end, HR_FORWARD_END_MERGE);
 }
 
+/* Guards against a request that has no answer when the process stops: it was
+ * cut off while a server still worked on it. */
+static void
+test_stop_ends_a_running_request(void **state)
+{
+    Simulation sim;
+
+    init_simulation(&sim, *state, HR_FORWARD_ONE, 1, 1, 1);
+    sim.route.idempotent = false;
+    start_request(&sim, *state);
+    sim.sent[0].reply_ns = HR_TIME_NEVER;
+    stop_process(&sim, START_NS + 300 * MS);
+    while (sim.finished == 0) {
+        run_next_event(&sim);
+    }
+    assert_int_equal(sim.end, HR_FORWARD_END_TIMEOUT);
+    assert_int_equal(sim.reason, HR_FORWARD_REASON_STOPPING);
+    assert_true(sim.now_ns <= START_NS + 300 * MS);
+}
+
+/* Guards against a request to shards that fails when the process stops,
+ * although the required shards have answered. */
+static void
+test_stop_merges_the_required_shards(void **state)
+{
+    Simulation sim;
+
+    init_simulation(&sim, *state, HR_FORWARD_SHARDS, 6, 1, 1);
+    start_request(&sim, *state);
+    set_outcomes(&sim, 10 * MS, 3);
+    stop_process(&sim, START_NS + 40 * MS);
+    while (sim.finished == 0) {
+        run_next_event(&sim);
+    }
+    assert_int_equal(sim.end, HR_FORWARD_END_MERGE);
+    assert_int_equal(count_answered(&sim), 5);
+    assert_true(sim.now_ns <= START_NS + 40 * MS);
+}
+
+/* Records answers of the route that took 20, 40, ... 400 ms. */
+static void
+record_answers(Simulation *sim)
+{
+    HrRouteStats *stats =
+        HrServerSet_GetRouteStats(sim->servers, sim->route.name);
+    int64_t ms;
+
+    for (ms = 20; ms <= 400; ms += 20) {
+        HrLatency_Record(&stats->answer, ms * MS, sim->now_ns);
+    }
+}
+
+/* Guards against a stopping process that passes on a request without the time
+ * to have it answered, or refuses one that it can serve. */
+static void
+test_stop_refuses_what_takes_too_long(void **state)
+{
+    Simulation sim;
+
+    init_simulation(&sim, *state, HR_FORWARD_ONE, 1, 2, 1);
+    record_answers(&sim);
+    sim.answer_by_ns = START_NS + 300 * MS;
+    start_request(&sim, *state);
+    assert_int_equal(sim.sent_count, 0);
+    assert_int_equal(sim.end, HR_FORWARD_END_REFUSE);
+    assert_int_equal(sim.reason, HR_FORWARD_REASON_STOPPING);
+    assert_true(sim.retry_after_ns <= 50 * MS);
+    sim.finished = 0;
+    sim.answer_by_ns = START_NS + 500 * MS;
+    start_request(&sim, *state);
+    assert_int_equal(sim.sent_count, 1);
+    /* Declined later, when there is not enough time for another server. */
+    sim.now_ns += 200 * MS;
+    sim.sent[0].outcome = HR_ATTEMPT_OUTCOME_DECLINED;
+    deliver_outcome(&sim, &sim.sent[0]);
+    assert_int_equal(sim.end, HR_FORWARD_END_REFUSE);
+    assert_int_equal(sim.sent_count, 1);
+    /* A request whose own time ends before is not affected by the stop. */
+    init_simulation(&sim, *state, HR_FORWARD_ONE, 1, 2, 1);
+    record_answers(&sim);
+    sim.route.timeout_ms = 200;
+    sim.answer_by_ns = START_NS + 300 * MS;
+    start_request(&sim, *state);
+    assert_int_equal(sim.sent_count, 1);
+}
+
 int
 main(void)
 {
@@ -730,6 +840,9 @@
         cmocka_unit_test(test_no_hedge_to_an_overloaded_server),
         cmocka_unit_test(test_split_meets_its_weights),
         cmocka_unit_test(test_deadline_merges_the_required_shards),
+        cmocka_unit_test(test_stop_ends_a_running_request),
+        cmocka_unit_test(test_stop_merges_the_required_shards),
+        cmocka_unit_test(test_stop_refuses_what_takes_too_long),
     };
 
     return cmocka_run_group_tests(tests, TestParent_Create, TestParent_Free);
--- a/tests/test-process-soak.c
+++ b/tests/test-process-soak.c
@@ -360,6 +360,7 @@
 static void
 start_soak(uint64_t seed)
 {
+    TestCallerOptions options;
     uint32_t i;
 
     memset(&soak, 0, sizeof(soak));
@@ -384,7 +385,9 @@
     for (i = 0; i < GATEWAYS; i++) {
         TestSite_WaitForGateway(&soak.site, i);
     }
-    soak.callers = TestGatewayCallers_Start(&soak.site, SERVICES, seed);
+    TestCallerOptions_GetDefaults(&options);
+    soak.callers =
+        TestGatewayCallers_Start(&soak.site, &options, SERVICES, seed);
 }
 
 /* Returns the number of requests that the leaving servers have run. */
