--- a/src/trans-http-client.c
+++ b/src/trans-http-client.c
@@ -19,6 +19,7 @@
     size_t answer_bytes;
     size_t answer_capacity;
     bool too_large;
+    bool head_complete; /* the empty line after the header was received */
     HrHttpAnswerFn *fn;
     void *arg;
 };
@@ -89,7 +90,9 @@
     }
     switch (result) {
     case CURLE_OK:
-        return HR_OK;
+        /* curl reports success if the server closes the connection within the
+         * header. */
+        return call->head_complete ? HR_OK : HR_ERR_PROTOCOL;
     case CURLE_OPERATION_TIMEDOUT:
         return HR_ERR_TIMEOUT;
     case CURLE_COULDNT_CONNECT:
@@ -310,6 +313,23 @@
     return HR_OK;
 }
 
+/* Called by curl with each line of the header, of informational answers and of
+ * trailers. Returns its length. */
+static size_t
+check_header_line(char *data, size_t size, size_t count, void *arg)
+{
+    HrHttpCall *call = arg;
+    size_t length = size * count;
+
+    if (length >= 5 && memcmp(data, "HTTP/", 5) == 0) {
+        call->head_complete = false;
+    }
+    else if (length > 0 && (data[0] == '\r' || data[0] == '\n')) {
+        call->head_complete = true;
+    }
+    return length;
+}
+
 /* Called by curl to append a part of the answer's body. Returns its length, or
  * 0 if the body exceeds the limit or memory runs out: curl then aborts the
  * transfer. */
@@ -395,6 +415,8 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, call->headers);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, append_answer);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, check_header_line);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
--- /dev/null
+++ b/tests/test-trans-faulty.c
@@ -0,0 +1,285 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "common-parent.h"
+#include "common-process.h"
+#include "common-site.h"
+#include "trans-h1-client.h"
+#include "trans-h1-server.h"
+#include "trans-http-client.h"
+#include "trans-socket.h"
+
+/* Both HTTP clients before servers that break off their answers or send bytes
+ * without end, and the listener before callers that do. */
+
+#define MS HR_NS_PER_MS
+#define ROUNDS_MAX 2000
+
+/* A client, and a listening socket of a faulty server. */
+typedef struct Fixture {
+    HrClock clock;
+    HrLoop *loop;
+    HrH1Client *h1_client;
+    HrH1Target *target;
+    HrHttpClient *http_client;
+    int listener;
+    int accepted; /* -1: none */
+    uint32_t results;
+    bool complete; /* the last result was a complete answer */
+} Fixture;
+
+/* Creates a fixture. */
+static Fixture *
+create_fixture(const void *parent)
+{
+    const HrH1ClientConfig h1_config = {.connect_timeout_ns = 500 * MS,
+                                        .idle_ns = 10 * HR_NS_PER_S,
+                                        .max_answer_bytes = 100000,
+                                        .max_buffered_bytes = 200000,
+                                        .silent_timeout_s = 3};
+    const HrHttpClientConfig http_config = {.connections_per_host = 4,
+                                            .idle_ms = 10000,
+                                            .max_answer_bytes = 100000};
+    Fixture *fixture = talloc_zero(parent, Fixture);
+    char address[32];
+
+    fixture->clock = HrClock_MakeSystem();
+    fixture->loop = HrLoop_Create(fixture, &fixture->clock);
+    fixture->h1_client = HrH1Client_Create(fixture, fixture->loop, &h1_config);
+    fixture->http_client =
+        HrHttpClient_Create(fixture, fixture->loop, &http_config);
+    fixture->listener = HrSocket_OpenListener("127.0.0.1:0", NULL);
+    assert_true(fixture->listener >= 0);
+    fixture->accepted = -1;
+    snprintf(address, sizeof(address), "127.0.0.1:%u",
+             HrSocket_GetPort(fixture->listener));
+    fixture->target = HrH1Target_Create(fixture, fixture->h1_client, address);
+    assert_non_null(fixture->target);
+    return fixture;
+}
+
+/* Closes the sockets and frees the fixture. */
+static void
+free_fixture(Fixture *fixture)
+{
+    if (fixture->accepted >= 0) {
+        close(fixture->accepted);
+    }
+    talloc_free(fixture->http_client);
+    close(fixture->listener);
+    talloc_free(fixture);
+}
+
+/* Records the result of a request of the gateway's client. */
+static void
+record_h1_result(void *arg, const HrH1Result *result)
+{
+    Fixture *fixture = arg;
+
+    fixture->results++;
+    fixture->complete = result->outcome == HR_H1_ANSWERED;
+}
+
+/* Records the result of a request of the daemons' own client. */
+static void
+record_http_answer(void *arg, const HrHttpAnswer *answer)
+{
+    Fixture *fixture = arg;
+
+    fixture->results++;
+    fixture->complete = answer->error == HR_OK;
+}
+
+/* Starts a request with one of the clients. */
+static void
+start_request(Fixture *fixture, bool own_client, bool is_head)
+{
+    static const char h1_head[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+    const HrH1Request h1_request = {
+        .head = {(const uint8_t *)h1_head, sizeof(h1_head) - 1},
+        .is_head = is_head,
+        .max_idle_ns = HR_TIME_NEVER};
+    char url[64];
+    const HrHttpRequest http_request = {.method = "GET",
+                                        .url = url,
+                                        .timeout_ns = 5 * HR_NS_PER_S,
+                                        .connect_timeout_ns = HR_NS_PER_S};
+
+    if (!own_client) {
+        assert_non_null(HrH1Target_SendRequest(fixture->target, &h1_request,
+                                               record_h1_result, fixture));
+        return;
+    }
+    snprintf(url, sizeof(url), "http://127.0.0.1:%u/x",
+             HrSocket_GetPort(fixture->listener));
+    assert_non_null(HrHttpClient_StartCall(fixture->http_client, &http_request,
+                                           record_http_answer, fixture));
+}
+
+/* Accepts the client's connection, if none is accepted, and reads a request.
+ */
+static void
+receive_request(Fixture *fixture)
+{
+    char text[512];
+    ssize_t got = -1;
+    uint32_t i;
+
+    for (i = 0; i < ROUNDS_MAX && got < 0; i++) {
+        HrLoop_RunOnce(fixture->loop, MS);
+        if (fixture->accepted < 0) {
+            fixture->accepted = accept(fixture->listener, NULL, NULL);
+        }
+        if (fixture->accepted >= 0) {
+            got = recv(fixture->accepted, text, sizeof(text), MSG_DONTWAIT);
+        }
+    }
+    assert_true(got > 0);
+}
+
+/* Closes the connection on the server's side, with a reset or in order. */
+static void
+close_connection(Fixture *fixture, bool reset)
+{
+    const struct linger linger = {.l_onoff = 1};
+
+    if (reset) {
+        setsockopt(fixture->accepted, SOL_SOCKET, SO_LINGER, &linger,
+                   sizeof(linger));
+    }
+    close(fixture->accepted);
+    fixture->accepted = -1;
+}
+
+/* Runs the loop until the request has a result. */
+static void
+wait_for_result(Fixture *fixture, uint32_t results)
+{
+    uint32_t i;
+
+    for (i = 0; i < ROUNDS_MAX && fixture->results < results; i++) {
+        HrLoop_RunOnce(fixture->loop, MS);
+    }
+    assert_int_equal(fixture->results, results);
+}
+
+/* Runs the loop until the client has noticed that its idle connection was
+ * closed. */
+static void
+wait_for_idle(Fixture *fixture)
+{
+    uint32_t i;
+
+    for (i = 0; i < ROUNDS_MAX && HrH1Target_GetIdleCount(fixture->target) > 0;
+         i++) {
+        HrLoop_RunOnce(fixture->loop, MS);
+    }
+    HrLoop_RunOnce(fixture->loop, 0);
+}
+
+/* Sends an answer cut at each byte and closes the connection. Checks that only
+ * the whole answer counts as complete, or one that lacks just optional_bytes
+ * at the end. */
+static void
+check_cuts(Fixture *fixture, const char *answer, bool own_client, bool is_head,
+           size_t optional_bytes)
+{
+    size_t length = strlen(answer), cut;
+
+    for (cut = 0; cut <= length; cut++) {
+        int reset;
+
+        for (reset = 0; reset < 2; reset++) {
+            uint32_t results = fixture->results + 1;
+
+            start_request(fixture, own_client, is_head);
+            receive_request(fixture);
+            if (cut > 0) {
+                send(fixture->accepted, answer, cut, MSG_NOSIGNAL);
+                HrLoop_RunOnce(fixture->loop, 2 * MS);
+            }
+            close_connection(fixture, reset == 1);
+            wait_for_result(fixture, results);
+            wait_for_idle(fixture);
+            if (cut == length) {
+                assert_true(fixture->complete);
+                continue;
+            }
+            if (fixture->complete && cut + optional_bytes < length) {
+                print_message("cut after %zu bytes of %zu, %s:\n%.*s\n", cut,
+                              length, reset ? "reset" : "closed", (int)cut,
+                              answer);
+                fail();
+            }
+        }
+    }
+}
+
+static const char *const whole_answers[] = {
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 10\r\n\r\n0123456789",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: 1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nabcde\r\n0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nabcde\r\n0\r\nA: b\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+    "\r\nx",
+};
+
+#define WHOLE_ANSWERS (sizeof(whole_answers) / sizeof(whole_answers[0]))
+
+/* Guards against an answer that broke off in its head or body and reaches the
+ * caller as a whole one. */
+static void
+test_cut_answer_is_not_complete(void **state)
+{
+    Fixture *fixture = create_fixture(*state);
+    size_t i;
+
+    for (i = 0; i < WHOLE_ANSWERS; i++) {
+        check_cuts(fixture, whole_answers[i], false, false, 0);
+    }
+    check_cuts(fixture, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", false,
+               true, 0);
+    free_fixture(fixture);
+}
+
+/* Guards against the same on the product's own path: libcurl reports success
+ * for an answer whose head is not complete. */
+static void
+test_cut_answer_is_not_complete_on_the_own_path(void **state)
+{
+    Fixture *fixture = create_fixture(*state);
+    size_t i;
+
+    for (i = 0; i < WHOLE_ANSWERS; i++) {
+        /* After the last chunk the body is complete; libcurl does not wait for
+         * the line feed at the end of its trailer. */
+        check_cuts(fixture, whole_answers[i], true, false,
+                   strstr(whole_answers[i], "chunked") != NULL ? 1 : 0);
+    }
+    free_fixture(fixture);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_cut_answer_is_not_complete),
+        cmocka_unit_test(test_cut_answer_is_not_complete_on_the_own_path),
+    };
+
+    return cmocka_run_group_tests(tests, TestParent_Create, TestParent_Free);
+}
