--- a/src/trans-http-client.c
+++ b/src/trans-http-client.c
@@ -6,6 +6,10 @@
 #include <string.h>
 #include <talloc.h>
 
+/* Limit of all header lines of an answer, with those of informational answers
+ * and trailers: curl keeps them until the call ends. */
+#define HEADER_LINES_MAX_BYTES ((size_t)64 * 1024)
+
 /* Limit of the idle curl handles that a client retains for later calls. */
 #define SPARE_HANDLES_MAX 64
 
@@ -19,6 +23,7 @@
     size_t answer_bytes;
     size_t answer_capacity;
     bool too_large;
+    size_t header_bytes;
     bool head_complete; /* the empty line after the header was received */
     HrHttpAnswerFn *fn;
     void *arg;
@@ -314,13 +319,19 @@
 }
 
 /* Called by curl with each line of the header, of informational answers and of
- * trailers. Returns its length. */
+ * trailers. Returns its length, or 0 if all lines exceed the limit: curl then
+ * aborts the transfer. */
 static size_t
 check_header_line(char *data, size_t size, size_t count, void *arg)
 {
     HrHttpCall *call = arg;
     size_t length = size * count;
 
+    call->header_bytes += length;
+    if (call->header_bytes > HEADER_LINES_MAX_BYTES) {
+        call->too_large = true;
+        return 0;
+    }
     if (length >= 5 && memcmp(data, "HTTP/", 5) == 0) {
         call->head_complete = false;
     }
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -7,7 +7,9 @@
 #include <cmocka.h>
 
 #include <errno.h>
+#include <malloc.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
@@ -17,7 +19,6 @@
 #include "common-process.h"
 #include "common-site.h"
 #include "trans-h1-client.h"
-#include "trans-h1-server.h"
 #include "trans-http-client.h"
 #include "trans-socket.h"
 
@@ -26,6 +27,7 @@
 
 #define MS HR_NS_PER_MS
 #define ROUNDS_MAX 2000
+#define BUFFERED_MAX_BYTES 200000
 
 /* A client, and a listening socket of a faulty server. */
 typedef struct Fixture {
@@ -47,7 +49,8 @@
     const HrH1ClientConfig h1_config = {.connect_timeout_ns = 500 * MS,
                                         .idle_ns = 10 * HR_NS_PER_S,
                                         .max_answer_bytes = 100000,
-                                        .max_buffered_bytes = 200000,
+                                        .max_buffered_bytes =
+                                            BUFFERED_MAX_BYTES,
                                         .silent_timeout_s = 3};
     const HrHttpClientConfig http_config = {.connections_per_host = 4,
                                             .idle_ms = 10000,
@@ -273,12 +276,90 @@
     free_fixture(fixture);
 }
 
+/* Sends a block again and again on a socket until the other end closes the
+ * connection, the request has a result or limit_bytes have been sent. Returns
+ * the number of bytes sent. */
+static size_t
+send_without_end(Fixture *fixture, int fd, const char *block,
+                 size_t limit_bytes)
+{
+    uint32_t results = fixture->results;
+    size_t sent = 0, length = strlen(block);
+
+    while (sent < limit_bytes && fixture->results == results) {
+        ssize_t got = send(fd, block, length, MSG_NOSIGNAL | MSG_DONTWAIT);
+
+        if (got < 0 && errno != EAGAIN) {
+            break;
+        }
+        sent += got > 0 ? (size_t)got : 0;
+        HrLoop_RunOnce(fixture->loop, 0);
+    }
+    return sent;
+}
+
+/* Fills a block with copies of a text. */
+static void
+fill_block(char *block, size_t block_bytes, const char *text)
+{
+    size_t length = 0;
+
+    while (length + strlen(text) < block_bytes) {
+        length +=
+            (size_t)snprintf(block + length, block_bytes - length, "%s", text);
+    }
+}
+
+/* Guards against a server that sends a head or a body without end to the
+ * product's own client: memory must not grow with the bytes. */
+static void
+test_endless_answers_on_the_own_path(void **state)
+{
+    static const char *const answers[][2] = {
+        {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        {"HTTP/1.1 200 OK\r\nA: ", "b"},
+        {"", "x"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"", "HTTP/1.1 103 Hints\r\nA: b\r\n\r\n"},
+        {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+         "4\r\nabcd\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "a=b;"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+         "A: b\r\n"},
+    };
+    const size_t limit_bytes = (size_t)64 * 1024 * 1024;
+    size_t i;
+
+    for (i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+        Fixture *fixture = create_fixture(*state);
+        char block[4096] = "";
+        size_t sent, used = mallinfo2().uordblks;
+
+        fill_block(block, sizeof(block), answers[i][1]);
+        start_request(fixture, true, false);
+        receive_request(fixture);
+        TestSocket_WriteText(fixture->accepted, answers[i][0]);
+        sent =
+            send_without_end(fixture, fixture->accepted, block, limit_bytes);
+        used = mallinfo2().uordblks > used ? mallinfo2().uordblks - used : 0;
+        close_connection(fixture, false);
+        wait_for_result(fixture, 1);
+        assert_false(fixture->complete);
+        free_fixture(fixture);
+        print_message("endless answer %zu: %zu bytes sent, %zu more in use\n",
+                      i, sent, used);
+        assert_true(used < limit_bytes / 16);
+    }
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_cut_answer_is_not_complete),
         cmocka_unit_test(test_cut_answer_is_not_complete_on_the_own_path),
+        cmocka_unit_test(test_endless_answers_on_the_own_path),
     };
 
     return cmocka_run_group_tests(tests, TestParent_Create, TestParent_Free);
