--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -400,6 +400,7 @@
         }
         if (HrBuffer_GetLength(&conn->pending) > PIPELINE_MAX_BYTES) {
             HrLoop_SetEvents(conn->server->loop, conn->watch, 0);
+            return false;
         }
     }
     return (size_t)got == sizeof(bytes);
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -8,6 +8,7 @@
 
 #include <errno.h>
 #include <malloc.h>
+#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +20,7 @@
 #include "common-process.h"
 #include "common-site.h"
 #include "trans-h1-client.h"
+#include "trans-h1-server.h"
 #include "trans-http-client.h"
 #include "trans-socket.h"
 
@@ -353,6 +355,59 @@
     }
 }
 
+/* Accepts a request and leaves it unanswered. */
+static void
+ignore_call(void *arg, HrH1Call *call)
+{
+    (void)arg;
+    (void)call;
+}
+
+#define CALLER_BLOCK_BYTES ((size_t)1024 * 1024)
+
+/* Sends bytes on a socket until the other end closes the connection. */
+static void *
+send_as_fast_as_possible(void *arg)
+{
+    int fd = *(const int *)arg;
+    char *block = calloc(1, CALLER_BLOCK_BYTES);
+
+    while (send(fd, block, CALLER_BLOCK_BYTES, MSG_NOSIGNAL) > 0) {
+    }
+    free(block);
+    return NULL;
+}
+
+/* Guards against a caller that sends bytes without end while its request is
+ * being answered: they must not all be kept. */
+static void
+test_endless_caller_is_not_buffered(void **state)
+{
+    const HrH1Limits limits = {16384, 65536, 3000, 15000};
+    Fixture *fixture = create_fixture(*state);
+    HrH1Server *server =
+        HrH1Server_Create(fixture, fixture->loop, "127.0.0.1:0", 8, &limits,
+                          ignore_call, ignore_call, NULL, NULL);
+    int64_t end_ns = HrLoop_NowNs(fixture->loop) + 500 * MS;
+    int fd = TestSocket_Connect(HrH1Server_GetPort(server));
+    pthread_t thread;
+    size_t used;
+
+    TestSocket_WriteText(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    pthread_create(&thread, NULL, send_as_fast_as_possible, &fd);
+    while (HrLoop_NowNs(fixture->loop) < end_ns) {
+        HrLoop_RunOnce(fixture->loop, MS);
+    }
+    used = talloc_total_size(fixture);
+    print_message("%zu bytes in use\n", used);
+    /* It buffers 64 KB and what it reads at once, in memory that doubles. */
+    assert_true(used < (size_t)192 * 1024);
+    shutdown(fd, SHUT_RDWR);
+    pthread_join(thread, NULL);
+    close(fd);
+    free_fixture(fixture);
+}
+
 int
 main(void)
 {
@@ -360,6 +415,7 @@
         cmocka_unit_test(test_cut_answer_is_not_complete),
         cmocka_unit_test(test_cut_answer_is_not_complete_on_the_own_path),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
+        cmocka_unit_test(test_endless_caller_is_not_buffered),
     };
 
     return cmocka_run_group_tests(tests, TestParent_Create, TestParent_Free);
