--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -93,6 +93,51 @@
     talloc_free(answer_memory);
 }
 
+/* Returns the connection with the largest incomplete answer, or NULL. */
+static HrH1ClientConn *
+find_largest_answer(const HrH1Client *client)
+{
+    const HrH1Target *target;
+    HrH1ClientConn *conn, *largest = NULL;
+
+    TAILQ_FOREACH (target, &client->targets, entry) {
+        TAILQ_FOREACH (conn, &target->busy, entry) {
+            if (largest == NULL ||
+                conn->buffered_bytes > largest->buffered_bytes) {
+                largest = conn;
+            }
+        }
+    }
+    return largest;
+}
+
+/* Counts bytes of an answer that are kept. If all incomplete answers exceed
+ * their limit, the largest ones are given up, by the next sweep, so that
+ * answers of other servers can be received. Returns false if that is this
+ * answer. */
+static bool
+reserve_buffered(HrH1ClientConn *conn, size_t length)
+{
+    HrH1Client *client = conn->target->client;
+    size_t limit_bytes = client->config.max_buffered_bytes;
+
+    while (limit_bytes > 0 && client->buffered_bytes + length > limit_bytes) {
+        HrH1ClientConn *largest = find_largest_answer(client);
+
+        if (largest == NULL ||
+            largest->buffered_bytes <= conn->buffered_bytes + length) {
+            conn->answer_too_large = true;
+            return false;
+        }
+        HrH1ClientConn_DropAnswer(largest);
+        largest->answer_too_large = true;
+        largest->deadline_ns = HrLoop_NowNs(client->loop);
+    }
+    conn->buffered_bytes += length;
+    client->buffered_bytes += length;
+    return !conn->answer_too_large;
+}
+
 /* Callbacks of the parser. A result other than 0 stops the parser, except that
  * 1 from on_headers means that the answer has no body. */
 static int
@@ -100,7 +145,8 @@
 {
     HrH1ClientConn *conn = parser->data;
 
-    return HrHeaders_AppendName(&conn->headers, at, length) != HR_OK;
+    return !reserve_buffered(conn, length + sizeof(HrHeaderSpan)) ||
+           HrHeaders_AppendName(&conn->headers, at, length) != HR_OK;
 }
 
 static int
@@ -108,7 +154,8 @@
 {
     HrH1ClientConn *conn = parser->data;
 
-    return HrHeaders_AppendValue(&conn->headers, at, length) != HR_OK;
+    return !reserve_buffered(conn, length) ||
+           HrHeaders_AppendValue(&conn->headers, at, length) != HR_OK;
 }
 
 /* Returns true if an answer may be a late one to an earlier request: it has no
@@ -149,21 +196,17 @@
 on_body(http_parser *parser, const char *at, size_t length)
 {
     HrH1ClientConn *conn = parser->data;
-    HrH1Client *client = conn->target->client;
-    size_t limit_bytes = client->config.max_buffered_bytes;
 
     if (conn->skipping_answer) {
         return 0;
     }
     if (HrBuffer_GetLength(&conn->body) + length >
-            client->config.max_answer_bytes ||
-        (limit_bytes > 0 && client->buffered_bytes + length > limit_bytes)) {
+        conn->target->client->config.max_answer_bytes) {
         conn->answer_too_large = true;
         return 1;
     }
-    conn->buffered_bytes += length;
-    client->buffered_bytes += length;
-    return HrBuffer_Append(&conn->body, at, length) != HR_OK;
+    return !reserve_buffered(conn, length) ||
+           HrBuffer_Append(&conn->body, at, length) != HR_OK;
 }
 
 /* Counts received bytes. Returns false if the server has sent too many for one
@@ -188,6 +231,7 @@
     if (conn->skipping_answer || parser->status_code / 100 == 1) {
         conn->skipping_answer = false;
         conn->answer_started = false;
+        HrH1ClientConn_ReleaseBuffered(conn);
         HrHeaders_Reset(&conn->headers, false);
         return 0;
     }
@@ -214,7 +258,7 @@
     bool at_end = length == 0;
 
     conn->answer_started = conn->answer_started || length > 0;
-    if (!count_answer_bytes(conn, length)) {
+    if (conn->answer_too_large || !count_answer_bytes(conn, length)) {
         conn->answer_started = true;
         HrH1ClientConn_FailRequest(conn);
         return;
--- a/src/trans-h1-client-int.h
+++ b/src/trans-h1-client-int.h
@@ -71,13 +71,17 @@
     struct HrH1TargetList targets;
     struct HrH1ClientConnList dead; /* closed; freed by the next sweep */
     uint64_t opened_count;
-    size_t buffered_bytes; /* bodies of all incomplete answers */
+    size_t buffered_bytes; /* header lines and bodies of all incomplete
+                              answers */
 };
 
 /* Subtracts the body of a connection from the buffered bytes of its client,
  * when the answer is complete or the connection is closed. */
 void HrH1ClientConn_ReleaseBuffered(HrH1ClientConn *conn);
 
+/* Frees what was received of an incomplete answer. */
+void HrH1ClientConn_DropAnswer(HrH1ClientConn *conn);
+
 /* Closes a connection. Its memory is freed by the next sweep. */
 void HrH1ClientConn_Close(HrH1ClientConn *conn);
 
--- a/src/trans-h1-client.c
+++ b/src/trans-h1-client.c
@@ -19,6 +19,15 @@
     conn->buffered_bytes = 0;
 }
 
+void
+HrH1ClientConn_DropAnswer(HrH1ClientConn *conn)
+{
+    HrH1ClientConn_ReleaseBuffered(conn);
+    HrHeaders_Reset(&conn->headers, true);
+    HrBuffer_Consume(&conn->body, HrBuffer_GetLength(&conn->body));
+    HrBuffer_FreeIfEmpty(&conn->body);
+}
+
 /* Closes a connection. Its memory is freed by the next sweep, because callers
  * of this function may still use it. */
 void
@@ -32,7 +41,7 @@
     conn->dead = true;
     HrLoop_RemoveFd(target->client->loop, conn->watch);
     close(conn->fd);
-    HrH1ClientConn_ReleaseBuffered(conn);
+    HrH1ClientConn_DropAnswer(conn);
     if (conn->state == HR_H1_CLIENT_CONN_IDLE) {
         TAILQ_REMOVE(&target->idle, conn, entry);
         target->idle_count--;
--- a/src/trans-h1-client.h
+++ b/src/trans-h1-client.h
@@ -26,8 +26,9 @@
     int64_t connect_timeout_ns;
     int64_t idle_ns; /* idle connections are closed after this time */
     size_t max_answer_bytes;
-    /* Limit of the received bytes of all incomplete answers together; 0: none.
-     * An answer that would exceed it fails. */
+    /* Limit of the received bytes of all incomplete answers together, header
+     * lines and bodies; 0: none. If it would be exceeded the largest of these
+     * answers fails. */
     size_t max_buffered_bytes;
     uint32_t silent_timeout_s; /* a connection fails if the other end is silent
                                   for this time */
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -312,6 +312,75 @@
     }
 }
 
+#define FAULTY_CONNECTIONS 40
+
+/* Guards against heads without end that use up the memory together although
+ * each of them is bounded. */
+static void
+test_heads_share_the_memory_limit(void **state)
+{
+    Fixture *fixture = create_fixture(*state);
+    int accepted[FAULTY_CONNECTIONS];
+    char block[4096] = "";
+    size_t most = 0;
+    int i;
+
+    fill_block(block, sizeof(block), "A: b\r\n");
+    for (i = 0; i < FAULTY_CONNECTIONS; i++) {
+        start_request(fixture, false, false);
+        receive_request(fixture);
+        accepted[i] = fixture->accepted;
+        fixture->accepted = -1;
+        TestSocket_WriteText(accepted[i], "HTTP/1.1 200 OK\r\n");
+        send_without_end(fixture, accepted[i], block, 70000);
+        most = talloc_total_size(fixture) > most ? talloc_total_size(fixture)
+                                                 : most;
+    }
+    print_message("%zu bytes in use at most\n", most);
+    assert_true(most < 2 * BUFFERED_MAX_BYTES);
+    for (i = 0; i < FAULTY_CONNECTIONS; i++) {
+        close(accepted[i]);
+    }
+    free_fixture(fixture);
+}
+
+/* Guards against answers of good servers that fail because a few faulty ones
+ * use up the memory for all answers. */
+static void
+test_small_answer_displaces_a_large_one(void **state)
+{
+    Fixture *fixture = create_fixture(*state);
+    char block[4096] = "";
+    int accepted[2], i;
+
+    fill_block(block, sizeof(block), "x");
+    for (i = 0; i < 2; i++) {
+        start_request(fixture, false, false);
+        receive_request(fixture);
+        accepted[i] = fixture->accepted;
+        fixture->accepted = -1;
+        TestSocket_WriteText(accepted[i],
+                             "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n"
+                             "\r\n");
+        send_without_end(fixture, accepted[i], block, 95000);
+    }
+    assert_int_equal(fixture->results, 0);
+    start_request(fixture, false, false);
+    receive_request(fixture);
+    TestSocket_WriteText(fixture->accepted,
+                         "HTTP/1.1 200 OK\r\nContent-Length: 30000\r\n\r\n");
+    send_without_end(fixture, fixture->accepted, block, 30000);
+    wait_for_result(fixture, 1);
+    assert_true(fixture->complete);
+    /* One of the large answers was given up for it. */
+    wait_for_result(fixture, 2);
+    assert_false(fixture->complete);
+    for (i = 0; i < 2; i++) {
+        close(accepted[i]);
+    }
+    free_fixture(fixture);
+}
+
 /* Guards against a server that sends a head or a body without end to the
  * product's own client: memory must not grow with the bytes. */
 static void
@@ -414,6 +483,8 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_cut_answer_is_not_complete),
         cmocka_unit_test(test_cut_answer_is_not_complete_on_the_own_path),
+        cmocka_unit_test(test_heads_share_the_memory_limit),
+        cmocka_unit_test(test_small_answer_displaces_a_large_one),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
         cmocka_unit_test(test_endless_caller_is_not_buffered),
     };
