--- a/src/coord-gather.c
+++ b/src/coord-gather.c
@@ -139,6 +139,8 @@
     case HR_GATHER_CALLER_DISCONNECTED:
         return HrGather_FinishQuery(gather, HR_REASON_CANCELLED,
                                     event->now_ns);
+    case HR_GATHER_STOPPING:
+        return HrGather_FinishQuery(gather, HR_REASON_DRAINING, event->now_ns);
     }
     return HR_ERR_INVALID;
 }
--- a/src/coord-gather.h
+++ b/src/coord-gather.h
@@ -52,6 +52,7 @@
     HR_GATHER_MAPS_RECEIVED,
     HR_GATHER_TIMER,
     HR_GATHER_CALLER_DISCONNECTED,
+    HR_GATHER_STOPPING, /* the daemon exits: finish with the parts so far */
 } HrGatherEventKind;
 
 /* Starts the query. route, maps and key are read only during the call;
--- a/src/daemon-control-drain.c
+++ b/src/daemon-control-drain.c
@@ -71,15 +71,21 @@
     }
 }
 
-/* Closes the listeners and schedules the exit. interrupted is the number of
- * requests that are still open. */
+/* Makes the query tasks answer the open queries, closes the listeners and
+ * schedules the exit. interrupted is the number of requests that are still
+ * open. */
 static void
 begin_exit(HrControlDrain *drain, uint32_t interrupted)
 {
     HrTask *task = drain->control->task;
+    uint32_t i;
 
     HrLog_Write(task->daemon->log, interrupted > 0 ? HR_LOG_WARN : HR_LOG_INFO,
                 "drained", "{s:i}", "interrupted", (int)interrupted);
+    for (i = 0; i < task->daemon->query_count; i++) {
+        post_empty_message(drain, task->daemon->query[i],
+                           HR_MESSAGE_END_QUERIES);
+    }
     post_empty_message(drain, task->daemon->http, HR_MESSAGE_CLOSE_LISTENERS);
     HrLoop_SetTimer(task->loop, drain->exit_timer,
                     HrLoop_NowNs(task->loop) + EXIT_DELAY_NS);
--- a/src/daemon-message.h
+++ b/src/daemon-message.h
@@ -21,6 +21,8 @@
                                       HTTP task starts to report its open
                                       requests */
     HR_MESSAGE_CLOSE_LISTENERS,
+    HR_MESSAGE_END_QUERIES, /* shutdown: query tasks answer all open queries,
+                               because the daemon exits */
     /* To a query task. */
     HR_MESSAGE_QUERY,        /* query: text is the body of POST /v1/query */
     HR_MESSAGE_SUB_ANSWER,   /* answer; also from a scheduling task to peer */
--- a/src/daemon-query-state.h
+++ b/src/daemon-query-state.h
@@ -74,6 +74,7 @@
     HrQueryPool *pools;       /* hash by name */
     uint64_t last_counter;    /* of the query ids; see HrDaemon_GetQueryTask */
     bool refuses_new_queries; /* the daemon is shutting down */
+    bool exiting;             /* all open queries are answered */
     bool performing_admission; /* in perform_admission_actions */
     uint32_t reported_open;
 };
--- a/src/daemon-query.c
+++ b/src/daemon-query.c
@@ -167,8 +167,10 @@
         if (query == NULL) {
             continue;
         }
-        if (action.kind == HR_ADMIT_REFUSE) {
-            HrQuery_Refuse(query, action.reason, is_first_copy(query));
+        if (action.kind == HR_ADMIT_REFUSE || state->exiting) {
+            HrQuery_Refuse(query,
+                           state->exiting ? HR_REASON_DRAINING : action.reason,
+                           is_first_copy(query));
             continue;
         }
         query->admitted = true;
@@ -430,6 +432,47 @@
     talloc_free(scratch);
 }
 
+/* Answers an open query before the daemon exits. */
+static void
+end_query(HrQuery *query)
+{
+    HrGatherEvent event = {.kind = HR_GATHER_STOPPING};
+
+    switch (query->phase) {
+    case HR_QUERY_ADMISSION:
+        HrQuery_Refuse(query, HR_REASON_DRAINING, is_first_copy(query));
+        break;
+    case HR_QUERY_CLAIM:
+        /* A claim that is granted later is released. */
+        HrQuery_Refuse(query, HR_REASON_DRAINING, false);
+        break;
+    case HR_QUERY_MAPS:
+        HrQuery_Refuse(query, HR_REASON_DRAINING,
+                       query->claimed || is_first_copy(query));
+        break;
+    case HR_QUERY_RUNNING:
+        HrQuery_HandleEvent(query, &event);
+        break;
+    }
+}
+
+/* Answers all open queries. Each end may admit a waiting query, which is then
+ * refused, so the list is read from its start each time. */
+static void
+end_queries(HrQueryTask *state)
+{
+    uint32_t count = HASH_COUNT(state->queries);
+
+    state->exiting = true;
+    while (state->queries != NULL) {
+        end_query(state->queries);
+        if (HASH_COUNT(state->queries) >= count) {
+            return; /* out of memory */
+        }
+        count = HASH_COUNT(state->queries);
+    }
+}
+
 /* Handles a message from another task. */
 static void
 handle_message(void *arg, HrMessage *message)
@@ -455,6 +498,10 @@
     case HR_MESSAGE_REFUSE_NEW_QUERIES:
         state->refuses_new_queries = true;
         break;
+    case HR_MESSAGE_END_QUERIES:
+        state->refuses_new_queries = true;
+        end_queries(state);
+        break;
     case HR_MESSAGE_REPORT_REQUEST:
         send_burn_report(state, message->u.report.number);
         break;
--- a/tests/test-process-path.c
+++ b/tests/test-process-path.c
@@ -10,6 +10,7 @@
 
 #include <cmocka.h>
 
+#include "common-callers.h"
 #include "common-process.h"
 
 #define CALLERS 8
@@ -285,6 +286,75 @@
     TestCluster_Stop(&cluster);
 }
 
+/* One query that is open while its daemon exits. */
+typedef struct OpenQuery {
+    const TestCluster *cluster;
+    pthread_t thread;
+    char body[256];
+    TestAnswer answer;
+} OpenQuery;
+
+/* Thread function: sends the query. */
+static void *
+send_open_query(void *arg)
+{
+    OpenQuery *query = arg;
+
+    query->answer = TestCluster_SendQuery(query->cluster, 0, query->body);
+    return NULL;
+}
+
+/* Guards against queries that end without an answer when a second signal, or
+ * the limit of the shutdown, makes the daemon exit while servers still work on
+ * them. */
+static void
+test_exit_answers_open_queries(void **state)
+{
+    OpenQuery queries[2] = {0};
+    TestCluster cluster;
+    uint32_t i;
+
+    (void)state;
+    TestCluster_Start(&cluster, 1, 2, 1);
+    for (i = 0; i < 2; i++) {
+        TestCluster_ControlServer(&cluster, i, "/control?fault=silent");
+    }
+    snprintf(queries[0].body, sizeof(queries[0].body),
+             "{\"request_id\":\"r\",\"kind\":\"search\",\"payload\":{},"
+             "\"deadline_ms\":15000}");
+    snprintf(queries[1].body, sizeof(queries[1].body),
+             "{\"request_id\":\"b\",\"kind\":\"book\",\"key\":\"k\","
+             "\"payload\":{},\"expires_ms\":%lld,\"attempt\":1,"
+             "\"deadline_ms\":15000}",
+             (long long)TestClock_GetWallMs() + 60000);
+    for (i = 0; i < 2; i++) {
+        queries[i].cluster = &cluster;
+        assert_int_equal(pthread_create(&queries[i].thread, NULL,
+                                        send_open_query, &queries[i]),
+                         0);
+    }
+    TestClock_SleepMs(1000);
+    assert_int_equal(kill(cluster.daemons[0].pid, SIGTERM), 0);
+    TestClock_SleepMs(300);
+    assert_int_equal(TestCluster_EndDaemon(&cluster, 0, SIGTERM), 0);
+    for (i = 0; i < 2; i++) {
+        pthread_join(queries[i].thread, NULL);
+        print_message("%s: %d %s %s\n", i == 0 ? "search" : "booking",
+                      queries[i].answer.status,
+                      TestAnswer_GetText(&queries[i].answer, "status"),
+                      TestAnswer_GetText(&queries[i].answer, "reason"));
+        assert_int_not_equal(queries[i].answer.status, 0);
+        assert_false(
+            json_is_true(json_object_get(queries[i].answer.json, "not_run")));
+    }
+    assert_string_equal(TestAnswer_GetText(&queries[1].answer, "status"),
+                        "unknown");
+    for (i = 0; i < 2; i++) {
+        TestAnswer_Release(&queries[i].answer);
+    }
+    TestCluster_Stop(&cluster);
+}
+
 /* Guards against a cluster that does not recover from the loss of a daemon,
  * and against a daemon that cannot rejoin it after a restart. */
 static void
@@ -402,6 +472,7 @@
         cmocka_unit_test(test_booking_fields_are_checked),
         cmocka_unit_test(test_refusal_allows_for_earlier_copies),
         cmocka_unit_test(test_graceful_shutdown),
+        cmocka_unit_test(test_exit_answers_open_queries),
         cmocka_unit_test(test_loss_and_restart),
         cmocka_unit_test(test_store_outage),
     };
