--- a/tests/common-gateway-fleet.c
+++ b/tests/common-gateway-fleet.c
@@ -11,6 +11,8 @@
 #define NO_PEER_HELLO_PERIOD_NS (200 * HR_NS_PER_MS)
 #define DRAIN_KEEP_NS (3500 * HR_NS_PER_MS)
 #define DRAIN_FINISH_LIMIT_NS (2 * HR_NS_PER_S)
+/* The requests of a stopping gateway end this long before its exit. */
+#define DRAIN_ANSWER_MARGIN_NS (250 * HR_NS_PER_MS)
 /* The event loop of the daemon detects pauses longer than this. */
 #define DETECTED_PAUSE_MIN_NS (500 * HR_NS_PER_MS)
 
@@ -352,7 +354,7 @@
     uint32_t request_index;
 
     if (gateway->version == 0 || !gateway->has_server_list ||
-        HrDrain_GetStep(gateway->drain) >= HR_DRAIN_FINISHING ||
+        HrDrain_GetStep(gateway->drain) == HR_DRAIN_DONE ||
         sim->request_count == FLEET_REQUESTS_MAX) {
         return;
     }
@@ -369,6 +371,7 @@
                                .servers = gateway->servers,
                                .rng = &gateway->rng,
                                .received_ns = now_ns,
+                               .answer_by_ns = gateway->answer_by_ns,
                                .deadline_ns = now_ns + FLEET_CALLER_WAIT_MS *
                                                            HR_NS_PER_MS};
     request->timeout_ns = now_ns + FLEET_ROUTE_TIMEOUT_MS * HR_NS_PER_MS;
@@ -432,6 +435,25 @@
     return count;
 }
 
+/* Tells the open requests of a gateway that it is stopping. */
+static void
+limit_requests_to_stop(FleetSim *sim, uint32_t index)
+{
+    FleetGateway *gateway = &sim->gateways[index];
+    HrForwardEvent event = {.kind = HR_FORWARD_EVENT_STOPPING,
+                            .now_ns = sim->fleet->now_ns};
+    uint32_t i;
+
+    gateway->answer_by_ns = event.now_ns + DRAIN_KEEP_NS +
+                            DRAIN_FINISH_LIMIT_NS - DRAIN_ANSWER_MARGIN_NS;
+    event.u.answer_by_ns = gateway->answer_by_ns;
+    for (i = gateway->first_open_request; i < sim->request_count; i++) {
+        if (sim->requests[i].gateway == index) {
+            handle_request_event(sim, i, &event);
+        }
+    }
+}
+
 /* Passes the number of unfinished requests and one event to the shutdown state
  * machine, and executes its actions. */
 static void
@@ -452,6 +474,7 @@
         case HR_DRAIN_ACTION_LEAVE:
             gateway->leaving = true;
             send_hellos(sim, index);
+            limit_requests_to_stop(sim, index);
             break;
         case HR_DRAIN_ACTION_REFUSE_NEW:
         case HR_DRAIN_ACTION_HAND_OVER:
--- a/tests/common-gateway-fleet.h
+++ b/tests/common-gateway-fleet.h
@@ -120,6 +120,8 @@
     HrServerSet *servers;
     HrVmSet *vms;
     HrDrain *drain;
+    int64_t answer_by_ns; /* end of the answers of a stopping gateway; 0: it
+                             is not stopping */
     HrListSync list_sync;
     HrRng rng;
     HrVmRecord self;
