--- a/tests/test-process-stop.c
+++ b/tests/test-process-stop.c
@@ -183,11 +183,11 @@
     TestSite_Stop(&site);
 }
 
-/* Guards against a stopping gateway that passes a request on although its
- * servers usually need longer than the time left, or keeps the caller waiting
- * before it refuses it. */
+/* Stops one or both of two gateways, and checks that the second one refuses a
+ * request for which its servers usually need longer than the time left: at
+ * once, without passing it on, and with a Retry-After from min_s to max_s. */
 static void
-test_stop_refuses_at_once_what_it_cannot_finish(void **state)
+check_late_request(bool both, double min_s, double max_s)
 {
     int64_t started_ms, sent_ms;
     int kept, waiting;
@@ -195,7 +195,6 @@
     char id[32], value[32];
     uint32_t i;
 
-    (void)state;
     start_site(2);
     set_service_mode(SERVICES - 1, "slow");
     for (i = 0; i < 8; i++) {
@@ -209,7 +208,9 @@
     kept = TestSocket_Connect(site.gateways[1].caller_port);
     waiting = TestSocket_Connect(site.gateways[1].caller_port);
     started_ms = TestClock_GetWallMs();
-    kill(site.gateways[1].pid, SIGTERM);
+    for (i = both ? 0 : 1; i < 2; i++) {
+        kill(site.gateways[i].pid, SIGTERM);
+    }
     TestClock_SleepMs(3200);
     /* Keeps the gateway from exiting early. */
     write_request(waiting, "GET /wide/q", "waiting");
@@ -224,15 +225,37 @@
     assert_true(TestClock_GetWallMs() - sent_ms < 300);
     assert_int_equal(count_runs("refused"), 0);
     TestReply_FindHeader(&reply, "Retry-After", value, sizeof(value));
-    assert_true(strtod(value, NULL) > 0 && strtod(value, NULL) < 0.3);
+    assert_true(strtod(value, NULL) > min_s);
+    assert_true(strtod(value, NULL) < max_s);
     assert_int_equal(check_answer(waiting, "waiting"), 504);
     close(kept);
     close(waiting);
-    assert_int_equal(TestProcess_Wait(site.gateways[1].pid), 0);
-    site.gateways[1].pid = 0;
+    for (i = both ? 0 : 1; i < 2; i++) {
+        assert_int_equal(TestProcess_Wait(site.gateways[i].pid), 0);
+        site.gateways[i].pid = 0;
+    }
     TestSite_Stop(&site);
 }
 
+/* Guards against a stopping gateway that passes a request on although its
+ * servers usually need longer than the time left, or keeps the caller waiting
+ * before it refuses it. */
+static void
+test_stop_refuses_at_once_what_it_cannot_finish(void **state)
+{
+    (void)state;
+    check_late_request(false, 0, 0.3);
+}
+
+/* Guards against callers that are told to return at once while no gateway can
+ * serve them, because all of them stop. */
+static void
+test_stop_of_all_gateways_tells_callers_to_wait(void **state)
+{
+    (void)state;
+    check_late_request(true, 0.4, 2);
+}
+
 /* One gateway that stops in a random series. */
 typedef struct Stop {
     uint32_t gateway;
@@ -367,6 +390,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_stop_answers_all_it_has_read),
         cmocka_unit_test(test_stop_refuses_at_once_what_it_cannot_finish),
+        cmocka_unit_test(test_stop_of_all_gateways_tells_callers_to_wait),
         cmocka_unit_test(test_random_stops),
     };
 
