--- a/tests/common-gateway-callers.c
+++ b/tests/common-gateway-callers.c
@@ -426,6 +426,17 @@
     return NULL;
 }
 
+/* Prints the counts of a run with a seed. */
+void
+TestCallerCounts_Print(const TestCallerCounts *counts, uint64_t seed)
+{
+    printf("seed %llu: %u complete, %u partial, %u refused, %u failed, %u "
+           "without answer, %u late, %u cut, %u wrong %s\n",
+           (unsigned long long)seed, counts->complete, counts->partial,
+           counts->refused, counts->failed, counts->no_answer, counts->late,
+           counts->cut, counts->wrong, counts->first_wrong);
+}
+
 /* Sets the options for a site with its usual routes. */
 void
 TestCallerOptions_GetDefaults(TestCallerOptions *options)
--- a/tests/common-gateway-callers.h
+++ b/tests/common-gateway-callers.h
@@ -28,6 +28,9 @@
     char first_wrong[256]; /* describes the first one; "" if none */
 } TestCallerCounts;
 
+/* Prints the counts of a run with a seed. */
+void TestCallerCounts_Print(const TestCallerCounts *counts, uint64_t seed);
+
 typedef struct TestGatewayCallers TestGatewayCallers;
 
 #define TEST_CALLERS_MAX 64
--- a/tests/common-site.c
+++ b/tests/common-site.c
@@ -133,6 +133,7 @@
     site->pid = TestProcess_Start(site->directory, "site.log", arguments);
     wait_for_platform(site);
     site->gateway_count = gateway_count;
+    site->replica_count = replica_count;
     site->control_port = TestPort_FindFree();
     site->peer_port = TestPort_FindFree();
     for (i = 0; i < gateway_count; i++) {
@@ -220,6 +221,32 @@
     return value;
 }
 
+/* Sets the mode of all servers of a service. */
+void
+TestSite_SetServiceMode(const TestSite *site, uint32_t service,
+                        const char *mode)
+{
+    uint32_t i;
+
+    for (i = 0; i < site->replica_count; i++) {
+        char target[96];
+
+        snprintf(target, sizeof(target), "/test/server?id=i-%u-%u&mode=%s",
+                 service, i, mode);
+        assert_true(TestSite_SendControl(site, target, "") >= 0);
+    }
+}
+
+/* Returns how often the request with an id ran on the servers. */
+int64_t
+TestSite_CountRuns(const TestSite *site, const char *id)
+{
+    char target[96];
+
+    snprintf(target, sizeof(target), "/test/runs?id=%s", id);
+    return TestSite_SendControl(site, target, "runs");
+}
+
 /* Opens a connection to a port on the loopback address. */
 int
 TestSocket_Connect(uint16_t port)
--- a/tests/common-site.h
+++ b/tests/common-site.h
@@ -30,6 +30,7 @@
     uint16_t peer_port;    /* same port for all gateways */
     TestGateway gateways[TEST_GATEWAYS_MAX];
     uint32_t gateway_count;
+    uint32_t replica_count; /* servers of each service */
 } TestSite;
 
 /* An HTTP answer as it was received. */
@@ -70,6 +71,14 @@
 int64_t TestSite_SendControl(const TestSite *site, const char *target,
                              const char *field);
 
+/* Sets the mode of all servers of a service: ok, shed, silent, error, slow,
+ * busy, leave, pause or queue. */
+void TestSite_SetServiceMode(const TestSite *site, uint32_t service,
+                             const char *mode);
+
+/* Returns how often the request with an id ran on the servers. */
+int64_t TestSite_CountRuns(const TestSite *site, const char *id);
+
 /* Opens a connection to a port on the loopback address. Reads time out after
  * 20 s. */
 int TestSocket_Connect(uint16_t port);
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -56,31 +56,6 @@
                                 "", "body");
 }
 
-/* Returns how often the request with an id ran on the servers. */
-static int64_t
-count_runs(const char *id)
-{
-    char target[96];
-
-    snprintf(target, sizeof(target), "/test/runs?id=%s", id);
-    return TestSite_SendControl(&site, target, "runs");
-}
-
-/* Sets the mode of all servers of a service: ok, shed, silent, error, slow. */
-static void
-set_service_mode(uint32_t service, const char *mode)
-{
-    uint32_t i;
-
-    for (i = 0; i < REPLICAS; i++) {
-        char target[96];
-
-        snprintf(target, sizeof(target), "/test/server?id=i-%u-%u&mode=%s",
-                 service, i, mode);
-        assert_true(TestSite_SendControl(&site, target, "") >= 0);
-    }
-}
-
 /* Sends requests to a path until one gets a status. Fails the test if none has
  * got it after 20 s. */
 static void
@@ -148,7 +123,7 @@
                                              "Hickoryrouter-Response-Seal",
                                              value, sizeof(value)),
                         "seal-o1-4");
-    assert_int_equal(count_runs("o1"), 1);
+    assert_int_equal(TestSite_CountRuns(&site, "o1"), 1);
 }
 
 /* Guards against forwarding a request that matches no route, and against
@@ -163,7 +138,7 @@
     (void)state;
     reply = TestSite_SendRequest(&site, 0, "GET", "/nowhere/x", "n1", "", "");
     assert_int_equal(reply.status, 404);
-    assert_int_equal(count_runs("n1"), 0);
+    assert_int_equal(TestSite_CountRuns(&site, "n1"), 0);
     fd = TestSocket_Connect(site.gateways[0].caller_port);
     memset(value, 'a', sizeof(value) - 1);
     value[sizeof(value) - 1] = '\0';
@@ -226,19 +201,19 @@
     TestReply reply;
 
     (void)state;
-    set_service_mode(SERVICES - 1, "silent");
+    TestSite_SetServiceMode(&site, SERVICES - 1, "silent");
     reply = send_once_request(0, "lost1");
     assert_int_equal(reply.status, 504);
-    assert_int_equal(count_runs("lost1"), 1);
-    set_service_mode(SERVICES - 1, "error");
+    assert_int_equal(TestSite_CountRuns(&site, "lost1"), 1);
+    TestSite_SetServiceMode(&site, SERVICES - 1, "error");
     reply = send_once_request(0, "lost2");
     assert_int_equal(reply.status, 500);
-    assert_int_equal(count_runs("lost2"), 1);
-    set_service_mode(SERVICES - 1, "shed");
+    assert_int_equal(TestSite_CountRuns(&site, "lost2"), 1);
+    TestSite_SetServiceMode(&site, SERVICES - 1, "shed");
     reply = send_once_request(0, "lost3");
     assert_int_equal(reply.status, 503);
-    assert_int_equal(count_runs("lost3"), 0);
-    set_service_mode(SERVICES - 1, "ok");
+    assert_int_equal(TestSite_CountRuns(&site, "lost3"), 0);
+    TestSite_SetServiceMode(&site, SERVICES - 1, "ok");
     assert_int_equal(send_once_request(0, "lost4").status, 200);
 }
 
@@ -248,10 +223,10 @@
 test_busy_server_promises_nothing(void **state)
 {
     (void)state;
-    set_service_mode(SERVICES - 1, "busy");
+    TestSite_SetServiceMode(&site, SERVICES - 1, "busy");
     assert_int_equal(send_once_request(0, "busy1").status, 502);
-    assert_int_equal(count_runs("busy1"), 1);
-    set_service_mode(SERVICES - 1, "ok");
+    assert_int_equal(TestSite_CountRuns(&site, "busy1"), 1);
+    TestSite_SetServiceMode(&site, SERVICES - 1, "ok");
     assert_int_equal(send_once_request(0, "busy2").status, 200);
 }
 
@@ -307,7 +282,7 @@
     uint32_t i;
 
     (void)state;
-    set_service_mode(SERVICES - 1, "pause");
+    TestSite_SetServiceMode(&site, SERVICES - 1, "pause");
     /* Each refusal pauses one or more of the servers. */
     for (i = 0; i < REPLICAS; i++) {
         reply = send_once_request(0, "paused");
@@ -328,7 +303,7 @@
         declined -= count_at_server(SERVICES - 1, i, "declined");
     }
     assert_int_equal(declined, 0);
-    set_service_mode(SERVICES - 1, "ok");
+    TestSite_SetServiceMode(&site, SERVICES - 1, "ok");
     TestClock_SleepMs(1600);
     assert_int_equal(send_once_request(0, "resumed").status, 200);
 }
@@ -342,9 +317,9 @@
     char value[64];
 
     (void)state;
-    set_service_mode(1, "error");
+    TestSite_SetServiceMode(&site, 1, "error");
     reply = send_search(0, "m1");
-    set_service_mode(1, "ok");
+    TestSite_SetServiceMode(&site, 1, "ok");
     assert_int_equal(reply.status, 200);
     assert_string_equal(TestReply_FindHeader(&reply,
                                              "Hickoryrouter-Missing-Parts",
@@ -458,7 +433,7 @@
     int fd = TestSocket_Connect(site.gateways[1].caller_port);
 
     (void)state;
-    set_service_mode(SERVICES - 1, "slow");
+    TestSite_SetServiceMode(&site, SERVICES - 1, "slow");
     kill(site.gateways[1].pid, SIGTERM);
     TestClock_SleepMs(3200);
     TestSocket_WriteText(fd, "POST /once/x HTTP/1.1\r\nHost: site.example\r\n"
@@ -466,7 +441,7 @@
                              "Content-Length: 0\r\n\r\n");
     assert_int_equal(TestSocket_ReadReply(fd).status, 200);
     close(fd);
-    set_service_mode(SERVICES - 1, "ok");
+    TestSite_SetServiceMode(&site, SERVICES - 1, "ok");
     assert_int_equal(TestProcess_Wait(site.gateways[1].pid), 0);
     TestSite_StartGateway(&site, 1);
     TestSite_WaitForGateway(&site, 1);
--- a/tests/test-process-soak.c
+++ b/tests/test-process-soak.c
@@ -473,11 +473,7 @@
     }
     check_recovery();
     counts = TestGatewayCallers_Stop(soak.callers);
-    print_message("seed %llu: %u complete, %u partial, %u refused, %u "
-                  "failed, %u without answer, %u late, %u cut, %u wrong %s\n",
-                  (unsigned long long)seed, counts.complete, counts.partial,
-                  counts.refused, counts.failed, counts.no_answer, counts.late,
-                  counts.cut, counts.wrong, counts.first_wrong);
+    TestCallerCounts_Print(&counts, seed);
     assert_int_equal(counts.wrong, 0);
     assert_int_equal(counts.cut, 0);
     assert_int_equal(counts.late, 0);
--- a/tests/test-process-stop.c
+++ b/tests/test-process-stop.c
@@ -36,31 +36,6 @@
 
 static TestSite site;
 
-/* Sets the mode of all servers of a service. */
-static void
-set_service_mode(uint32_t service, const char *mode)
-{
-    uint32_t i;
-
-    for (i = 0; i < REPLICAS; i++) {
-        char target[96];
-
-        snprintf(target, sizeof(target), "/test/server?id=i-%u-%u&mode=%s",
-                 service, i, mode);
-        assert_true(TestSite_SendControl(&site, target, "") >= 0);
-    }
-}
-
-/* Returns how often the request with an id ran on the servers. */
-static int64_t
-count_runs(const char *id)
-{
-    char target[96];
-
-    snprintf(target, sizeof(target), "/test/runs?id=%s", id);
-    return TestSite_SendControl(&site, target, "runs");
-}
-
 /* Sets the routes, with the timeout of all of them, and waits until the
  * gateways had time to apply them. */
 static void
@@ -110,7 +85,7 @@
     }
     assert_int_not_equal(reply.status, 0);
     if (reply.status == 503) {
-        assert_int_equal(count_runs(id), 0);
+        assert_int_equal(TestSite_CountRuns(&site, id), 0);
     }
     return reply.status;
 }
@@ -133,7 +108,7 @@
     (void)state;
     start_site(2);
     for (i = 0; i < SERVICES; i++) {
-        set_service_mode(i, "silent");
+        TestSite_SetServiceMode(&site, i, "silent");
     }
     for (i = 0; i < 5; i++) {
         kept[i] = TestSocket_Connect(site.gateways[1].caller_port);
@@ -196,14 +171,14 @@
     uint32_t i;
 
     start_site(2);
-    set_service_mode(SERVICES - 1, "slow");
+    TestSite_SetServiceMode(&site, SERVICES - 1, "slow");
     for (i = 0; i < 8; i++) {
         snprintf(id, sizeof(id), "usual-%u", i);
         reply = TestSite_SendRequest(&site, 1, "POST", "/once/x", id, "", "");
         assert_int_equal(reply.status, 200);
     }
     for (i = 0; i + 1 < SERVICES; i++) {
-        set_service_mode(i, "silent");
+        TestSite_SetServiceMode(&site, i, "silent");
     }
     kept = TestSocket_Connect(site.gateways[1].caller_port);
     waiting = TestSocket_Connect(site.gateways[1].caller_port);
@@ -223,7 +198,7 @@
     reply = TestSocket_ReadReply(kept);
     assert_int_equal(reply.status, 503);
     assert_true(TestClock_GetWallMs() - sent_ms < 300);
-    assert_int_equal(count_runs("refused"), 0);
+    assert_int_equal(TestSite_CountRuns(&site, "refused"), 0);
     TestReply_FindHeader(&reply, "Retry-After", value, sizeof(value));
     assert_true(strtod(value, NULL) > min_s);
     assert_true(strtod(value, NULL) < max_s);
@@ -279,7 +254,7 @@
 
     if (HrRng_DrawBool(rng, 0.3)) {
         silent = (uint32_t)HrRng_DrawBelow(rng, SERVICES);
-        set_service_mode(silent, "silent");
+        TestSite_SetServiceMode(&site, silent, "silent");
     }
     for (i = 0; i < count; i++) {
         stops[i] = (Stop){(first + i) % gateways, TestClock_GetWallMs()};
@@ -317,7 +292,7 @@
         TestSite_WaitForGateway(&site, i);
     }
     if (silent < SERVICES) {
-        set_service_mode(silent, "queue");
+        TestSite_SetServiceMode(&site, silent, "queue");
     }
 }
 
@@ -334,7 +309,7 @@
 
     start_site(gateways);
     for (i = 0; i < SERVICES; i++) {
-        set_service_mode(i, "queue");
+        TestSite_SetServiceMode(&site, i, "queue");
     }
     callers = TestGatewayCallers_Start(&site, &options, SERVICES, seed);
     TestClock_SleepMs(2000);
@@ -343,11 +318,7 @@
         TestClock_SleepMs((int64_t)HrRng_DrawBelow(&rng, 1500));
     }
     counts = TestGatewayCallers_Stop(callers);
-    print_message("seed %llu: %u complete, %u partial, %u refused, %u "
-                  "failed, %u without answer, %u late, %u cut, %u wrong %s\n",
-                  (unsigned long long)seed, counts.complete, counts.partial,
-                  counts.refused, counts.failed, counts.no_answer, counts.late,
-                  counts.cut, counts.wrong, counts.first_wrong);
+    TestCallerCounts_Print(&counts, seed);
     assert_int_equal(counts.wrong, 0);
     assert_int_equal(counts.cut, 0);
     assert_int_equal(counts.late, 0);
