--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -152,7 +152,8 @@
 {
     snprintf(text, text_bytes,
              "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"a\","
-             "\"slots\":%s,\"state\":\"ready\",\"sequence\":%s,\"born\":%s}",
+             "\"version\":\"v1\",\"coldRemainingMs\":0,\"slots\":%s,"
+             "\"state\":\"ready\",\"sequence\":%s,\"born\":%s}",
              address, slots, sequence, born);
     return text;
 }
@@ -205,6 +206,60 @@
 #undef ASSERT_REFUSED
 }
 
+/* Guards against an entry of another writer that is used although a field is
+ * missing or of another type: it moved a server to another service, or took it
+ * out of use for good. */
+static void
+test_entries_without_a_field(void **state)
+{
+    static const char *const fields[] = {
+        "\"service\":\"s\"",     "\"address\":\"10.0.0.9:80\"",
+        "\"zone\":\"a\"",        "\"version\":\"v1\"",
+        "\"slots\":2",           "\"state\":\"draining\"",
+        "\"coldRemainingMs\":0", "\"sequence\":4"};
+    static const char *const odd_fields[] = {"\"version\":7",
+                                             "\"version\":null",
+                                             "\"coldRemainingMs\":\"0\"",
+                                             "\"coldRemainingMs\":-1",
+                                             "\"coldRemainingMs\":null",
+                                             "\"state\":\"gone\""};
+    const size_t count = sizeof(fields) / sizeof(fields[0]);
+    size_t left_out, i;
+
+    for (left_out = 0; left_out <= count; left_out++) {
+        char text[512] = "{\"x\":1";
+        HrServerEntry entry;
+
+        for (i = 0; i < count; i++) {
+            if (i != left_out) {
+                snprintf(text + strlen(text), sizeof(text) - strlen(text),
+                         ",%s", fields[i]);
+            }
+        }
+        strcat(text, "}");
+        assert_int_equal(HrPlatformServer_Decode(*state, "servers/i", text,
+                                                 strlen(text), &entry),
+                         left_out == count ? HR_OK : HR_ERR_INVALID);
+    }
+    for (left_out = 0; left_out < sizeof(odd_fields) / sizeof(odd_fields[0]);
+         left_out++) {
+        char text[512] = "{\"x\":1";
+        HrServerEntry entry;
+
+        for (i = 0; i < count; i++) {
+            size_t name = (size_t)(strchr(fields[i], ':') - fields[i]);
+            bool is_odd = strncmp(fields[i], odd_fields[left_out], name) == 0;
+
+            snprintf(text + strlen(text), sizeof(text) - strlen(text), ",%s",
+                     is_odd ? odd_fields[left_out] : fields[i]);
+        }
+        strcat(text, "}");
+        assert_int_equal(HrPlatformServer_Decode(*state, "servers/i", text,
+                                                 strlen(text), &entry),
+                         HR_ERR_INVALID);
+    }
+}
+
 /* Guards against a process that ends, or uses memory without bound, because of
  * one odd entry: nested deeply, or with a name of a megabyte, a NUL or invalid
  * UTF-8. */
@@ -213,12 +268,15 @@
 {
     static const char head[] = "{\"service\":\"s\",\"address\":"
                                "\"10.0.0.9:80\",\"zone\":\"a\",\"slots\":2,"
+                               "\"version\":\"v1\",\"coldRemainingMs\":0,"
                                "\"state\":\"ready\",\"sequence\":4,\"x\":";
     static const char *const texts[] = {
         "{\"service\":\"s\\u0000\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
-        "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+        "\"version\":\"v1\",\"coldRemainingMs\":0,\"slots\":2,"
+        "\"state\":\"ready\",\"sequence\":4}",
         "{\"service\":\"s\xff\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\","
-        "\"slots\":2,\"state\":\"ready\",\"sequence\":4}",
+        "\"version\":\"v1\",\"coldRemainingMs\":0,\"slots\":2,"
+        "\"state\":\"ready\",\"sequence\":4}",
     };
     const size_t large_bytes = (size_t)1024 * 1024;
     const size_t text_bytes = large_bytes + sizeof(head) + 256;
@@ -236,6 +294,7 @@
     memset(text + 12, 'n', large_bytes);
     snprintf(text + 12 + large_bytes, text_bytes - 12 - large_bytes, "%s",
              "\",\"address\":\"10.0.0.9:80\",\"zone\":\"a\",\"slots\":2,"
+             "\"version\":\"v1\",\"coldRemainingMs\":0,"
              "\"state\":\"ready\",\"sequence\":4}");
     assert_int_equal(HrPlatformServer_Decode(*state, "servers/i", text,
                                              strlen(text), &entry),
@@ -683,6 +742,7 @@
         cmocka_unit_test(test_damaged_table),
         cmocka_unit_test(test_server_entries),
         cmocka_unit_test(test_entries_out_of_range),
+        cmocka_unit_test(test_entries_without_a_field),
         cmocka_unit_test(test_entries_of_another_kind),
         cmocka_unit_test(test_keys_in_calls_are_encoded),
         cmocka_unit_test(test_damaged_server_entry),
