--- a/src/state-forward.c
+++ b/src/state-forward.c
@@ -38,7 +38,7 @@
             HrError *err)
 {
     size_t length = strlen(route->prefix);
-    uint64_t weight = 0;
+    double weight = 0;
     uint32_t i;
 
     if (length == 0 || route->prefix[0] != '/' ||
@@ -64,7 +64,7 @@
         }
         weight += route->targets[i].weight;
     }
-    if (route->kind == HR_FORWARD_SPLIT && weight == 0) {
+    if (route->kind == HR_FORWARD_SPLIT && !(weight > 0)) {
         return HrError_Set(err, HR_ERR_RANGE,
                            "route %s: at least one part must have a weight "
                            "above 0",
--- a/src/state-forward.h
+++ b/src/state-forward.h
@@ -23,7 +23,7 @@
 /* One service of a route, with its weight in a split. */
 typedef struct HrForwardTarget {
     uint32_t service; /* index into HrForwardTable.services */
-    uint32_t weight;
+    double weight;
 } HrForwardTarget;
 
 /* How the requests for one host and path prefix are forwarded. */
--- a/tests/test-forward.c
+++ b/tests/test-forward.c
@@ -708,8 +708,8 @@
         Simulation sim;
 
         init_simulation(&sim, *state, HR_FORWARD_SPLIT, 2, 1, seed);
-        sim.targets[0].weight = 7;
-        sim.targets[1].weight = 3;
+        sim.targets[0].weight = seed % 2 == 0 ? 7 : 0.7;
+        sim.targets[1].weight = seed % 2 == 0 ? 3 : 0.3;
         for (i = 0; i < 50; i++) {
             sim.sent_count = 0;
             sim.finished = 0;
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -260,6 +260,25 @@
     }
 }
 
+/* Guards against a version of the routes that is refused, or a part of a split
+ * without requests, because weights are not integers. */
+static void
+test_fractional_weights(void **state)
+{
+    static const char text[] =
+        "{\"version\":7,\"routes\":[{\"name\":\"x\",\"host\":\"h\","
+        "\"prefix\":\"/x/\",\"routeKind\":\"safe\",\"timeoutMs\":800,"
+        "\"targetLatencyMs\":80,\"priority\":1,\"maxAttempts\":1,"
+        "\"trafficSplit\":[{\"service\":\"s1\",\"weight\":0.7},"
+        "{\"service\":\"s2\",\"weight\":0.3}]}],\"services\":[]}";
+    HrForwardTable *table =
+        HrPlatformTable_Decode(*state, text, strlen(text), NULL);
+
+    assert_non_null(table);
+    assert_true(table->routes[0].targets[0].weight == 0.7);
+    assert_true(table->routes[0].targets[1].weight == 0.3);
+}
+
 /* Guards against a process that ends, or uses memory without bound, because of
  * one odd entry: nested deeply, or with a name of a megabyte, a NUL or invalid
  * UTF-8. */
@@ -743,6 +762,7 @@
         cmocka_unit_test(test_server_entries),
         cmocka_unit_test(test_entries_out_of_range),
         cmocka_unit_test(test_entries_without_a_field),
+        cmocka_unit_test(test_fractional_weights),
         cmocka_unit_test(test_entries_of_another_kind),
         cmocka_unit_test(test_keys_in_calls_are_encoded),
         cmocka_unit_test(test_damaged_server_entry),
