--- a/tests/common-process.c
+++ b/tests/common-process.c
@@ -25,8 +25,8 @@
 /* The limits of 60 s and 30 s are long because a sanitizer build on a busy
  * machine is slow. */
 #define FIRST_PORT 10000
-#define PORT_BLOCKS 220
-#define BLOCK_PORTS 100
+#define PORT_BLOCKS 73
+#define BLOCK_PORTS 300
 #define SERVING_LIMIT_MS 60000
 #define EXIT_LIMIT_MS 60000
 #define POLL_MS 20
@@ -152,7 +152,7 @@
     return fd;
 }
 
-/* Claims a block of 100 ports for this process, once, and returns its first
+/* Claims a block of 300 ports for this process, once, and returns its first
  * port. The process listens on the last port of the block until it exits, so
  * test programs that run at the same time cannot use each other's ports. The
  * blocks lie below the range of the system's ephemeral ports. */
