--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -152,7 +152,10 @@
 static bool
 is_drained(const HrH1Conn *conn)
 {
-    return conn->server->draining && HrBuffer_GetLength(&conn->pending) == 0;
+    bool more = conn->is_parsing ? conn->more_received
+                                 : HrBuffer_GetLength(&conn->pending) > 0;
+
+    return conn->server->draining && !more;
 }
 
 /* Sends an answer. What the socket does not accept now is sent when it is
@@ -331,6 +334,7 @@
     used = http_parser_execute(&conn->parser, &parser_settings,
                                (const char *)data, length);
     error = HTTP_PARSER_ERRNO(&conn->parser);
+    conn->more_received = used < length;
     if (conn->parser.upgrade && conn->message_complete) {
         /* Protocol upgrades are not supported, and where the next request
          * would start is unknown. */
--- a/src/trans-h1-server-int.h
+++ b/src/trans-h1-server-int.h
@@ -39,6 +39,7 @@
     bool keep_alive;
     bool is_parsing; /* parse_pending or read_input is parsing; finish_answer
                         must not start another loop */
+    bool more_received; /* while parsing: bytes follow the current request */
     bool dead;
 } HrH1Conn;
 
--- a/tests/test-trans-h1.c
+++ b/tests/test-trans-h1.c
@@ -666,6 +666,50 @@
     free_fixture(fixture);
 }
 
+/* Answers each request at once. */
+static void
+answer_at_once(void *arg, HrH1Call *call)
+{
+    const HrH1Answer answer = {.status = 503};
+    Calls *calls = arg;
+
+    calls->received++;
+    HrH1Call_Answer(call, &answer);
+}
+
+/* Guards against a draining listener that closes a connection although further
+ * requests were received on it, together with one that is answered at once. */
+static void
+test_draining_listener_answers_all_received(void **state)
+{
+    const HrH1Limits limits = {1000, 100, 300, 600};
+    Fixture *fixture = create_fixture(*state);
+    Calls calls = {0};
+    HrH1Server *server =
+        HrH1Server_Create(fixture, fixture->loop, "127.0.0.1:0", 2, &limits,
+                          answer_at_once, record_disconnect, &calls, NULL);
+    int fd = TestSocket_Connect(HrH1Server_GetPort(server)), i;
+    char value[16];
+
+    HrH1Server_Drain(server);
+    TestSocket_WriteText(fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+                             "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+                             "GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+    run_loop_for(fixture, 30 * MS);
+    for (i = 0; i < 3; i++) {
+        TestReply reply = TestSocket_ReadReply(fd);
+        bool closing = TestReply_FindHeader(&reply, "Connection", value,
+                                            sizeof(value)) != NULL;
+
+        assert_int_equal(reply.status, 503);
+        assert_int_equal(closing, i == 2);
+    }
+    assert_int_equal(calls.received, 3);
+    assert_int_equal(recv(fd, value, 1, 0), 0);
+    close(fd);
+    free_fixture(fixture);
+}
+
 /* Guards against requests that are cut off without an answer because they were
  * received just before the listener closes: on a connection that is not
  * accepted yet, or on an idle one. */
@@ -720,6 +764,7 @@
         cmocka_unit_test(test_caller_disconnect_is_detected),
         cmocka_unit_test(test_time_limits_of_callers),
         cmocka_unit_test(test_draining_listener),
+        cmocka_unit_test(test_draining_listener_answers_all_received),
     };
 
     return cmocka_run_group_tests(tests, TestParent_Create, TestParent_Free);
