--- a/src/daemon-gateway.c
+++ b/src/daemon-gateway.c
@@ -275,16 +275,30 @@
            HrH1Server_CountIncomingRequests(gateway->caller_listener);
 }
 
-/* Returns true if no request is open. Before that, closes the idle
- * connections of callers, which may have received more requests. */
+/* Returns true if the shutdown ends once no request is open. */
 static bool
-is_finished(HrGateway *gateway)
+may_finish(const HrGateway *gateway, int64_t now_ns)
 {
-    if (count_open_requests(gateway) > 0) {
-        return false;
+    HrDrainStep step = HrDrain_GetStep(gateway->drain);
+
+    return step == HR_DRAIN_FINISHING ||
+           (step == HR_DRAIN_LEAVING &&
+            now_ns >= HrDrain_GetNextTimer(gateway->drain));
+}
+
+/* Returns the number of open requests. If there is none and the shutdown is
+ * about to end, first closes the listener and the idle connections of callers,
+ * which may have received more. */
+static uint32_t
+count_last_requests(HrGateway *gateway, int64_t now_ns)
+{
+    uint32_t count = count_open_requests(gateway);
+
+    if (count > 0 || !may_finish(gateway, now_ns)) {
+        return count;
     }
     HrH1Server_Close(gateway->caller_listener);
-    return count_open_requests(gateway) == 0;
+    return count_open_requests(gateway);
 }
 
 /* Returns how long before SIGKILL the last requests are answered. */
@@ -324,10 +338,7 @@
 
     /* The number of open requests is updated first; by an outdated number the
      * event could end a step too early. */
-    open.u.open = HrDrain_GetStep(gateway->drain) == HR_DRAIN_FINISHING &&
-                          is_finished(gateway)
-                      ? 0
-                      : count_open_requests(gateway);
+    open.u.open = count_last_requests(gateway, event->now_ns);
     HrDrain_HandleEvent(gateway->drain, &open);
     HrDrain_HandleEvent(gateway->drain, event);
     while (HrDrain_PopAction(gateway->drain, &action)) {
--- a/tests/test-process-stop.c
+++ b/tests/test-process-stop.c
@@ -161,6 +161,39 @@
     TestSite_Stop(&site);
 }
 
+/* Guards against requests that are cut because they were received, but not
+ * read, when the gateway stops accepting connections with no other request
+ * open: on a new and on a kept connection. */
+static void
+test_stop_answers_what_waits_to_be_read(void **state)
+{
+    int kept, fresh;
+    int64_t started_ms;
+
+    (void)state;
+    start_site(2);
+    TestSite_SetServiceMode(&site, SERVICES - 1, "slow");
+    kept = TestSocket_Connect(site.gateways[1].caller_port);
+    TestClock_SleepMs(100);
+    started_ms = TestClock_GetWallMs();
+    kill(site.gateways[1].pid, SIGTERM);
+    TestClock_SleepMs(started_ms + 3300 - TestClock_GetWallMs());
+    /* The gateway finds the requests and the end of its step together. */
+    kill(site.gateways[1].pid, SIGSTOP);
+    fresh = TestSocket_Connect(site.gateways[1].caller_port);
+    write_request(kept, "POST /once/q", "kept");
+    write_request(fresh, "POST /once/q", "fresh");
+    TestClock_SleepMs(400);
+    kill(site.gateways[1].pid, SIGCONT);
+    check_answer(kept, "kept");
+    check_answer(fresh, "fresh");
+    close(kept);
+    close(fresh);
+    assert_int_equal(TestProcess_Wait(site.gateways[1].pid), 0);
+    site.gateways[1].pid = 0;
+    TestSite_Stop(&site);
+}
+
 /* Stops one or both of two gateways, and checks that the second one refuses a
  * request for which its servers usually need longer than the time left: at
  * once, without passing it on, and with a Retry-After from min_s to max_s. */
@@ -363,6 +396,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_stop_answers_all_it_has_read),
+        cmocka_unit_test(test_stop_answers_what_waits_to_be_read),
         cmocka_unit_test(test_stop_refuses_at_once_what_it_cannot_finish),
         cmocka_unit_test(test_stop_of_all_gateways_tells_callers_to_wait),
         cmocka_unit_test(test_random_stops),
