--- a/tests/common-site.c
+++ b/tests/common-site.c
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -308,6 +309,11 @@
         size_t want = reply.head_bytes == 0 ? 1 : wanted - length;
         ssize_t received = recv(fd, reply.text + length, want, 0);
 
+        /* With a timeout, a signal ends the call also if it is restarted
+         * otherwise. */
+        if (received < 0 && errno == EINTR) {
+            continue;
+        }
         if (received <= 0) {
             break;
         }
