--- a/tests/test-process-stop.c
+++ b/tests/test-process-stop.c
@@ -317,12 +317,13 @@
         }
     }
     for (i = 0; i < count; i++) {
-        uint32_t index = stops[i].gateway;
-
-        assert_int_equal(TestProcess_Wait(site.gateways[index].pid), 0);
+        assert_int_equal(TestProcess_Wait(site.gateways[stops[i].gateway].pid),
+                         0);
         assert_true(TestClock_GetWallMs() - stops[i].at_ms < GRACE_MS);
-        TestSite_StartGateway(&site, index);
-        TestGatewayCallers_SetStopping(callers, index, 0);
+    }
+    for (i = 0; i < count; i++) {
+        TestSite_StartGateway(&site, stops[i].gateway);
+        TestGatewayCallers_SetStopping(callers, stops[i].gateway, 0);
     }
     for (i = 0; i < gateways; i++) {
         TestSite_WaitForGateway(&site, i);
