--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -100,8 +100,10 @@
     const HrH1Target *target;
     HrH1ClientConn *conn, *largest = NULL;
 
-    TAILQ_FOREACH (target, &client->targets, entry) {
-        TAILQ_FOREACH (conn, &target->busy, entry) {
+    for (target = TAILQ_FIRST(&client->targets); target != NULL;
+         target = TAILQ_NEXT(target, entry)) {
+        for (conn = TAILQ_FIRST(&target->busy); conn != NULL;
+             conn = TAILQ_NEXT(conn, entry)) {
             if (largest == NULL ||
                 conn->buffered_bytes > largest->buffered_bytes) {
                 largest = conn;
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -6,6 +6,8 @@
 
 #include <cmocka.h>
 
+#include <bsd/string.h>
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -236,7 +238,7 @@
                          ",%s", fields[i]);
             }
         }
-        strcat(text, "}");
+        strlcat(text, "}", sizeof(text));
         assert_int_equal(HrPlatformServer_Decode(*state, "servers/i", text,
                                                  strlen(text), &entry),
                          left_out == count ? HR_OK : HR_ERR_INVALID);
@@ -253,7 +255,7 @@
             snprintf(text + strlen(text), sizeof(text) - strlen(text), ",%s",
                      is_odd ? odd_fields[left_out] : fields[i]);
         }
-        strcat(text, "}");
+        strlcat(text, "}", sizeof(text));
         assert_int_equal(HrPlatformServer_Decode(*state, "servers/i", text,
                                                  strlen(text), &entry),
                          HR_ERR_INVALID);
--- a/tests/test-process-endless.c
+++ b/tests/test-process-endless.c
@@ -22,7 +22,7 @@
 
 #define SERVICES 5
 #define REPLICAS 3
-#define MEMORY_MAX_KB (64 * 1024)
+#define MEMORY_MAX_KB 65536L
 
 /* What a faulty server sends: head once, then tail again and again. */
 typedef struct EndlessAnswer {
@@ -194,7 +194,7 @@
     print_message("%u of %u requests with success, %ld KB at the peak\n",
                   successes, CALLERS * REQUESTS_PER_CALLER, peak_kb);
     assert_true(peak_kb < MEMORY_MAX_KB);
-    assert_true(successes >= CALLERS * REQUESTS_PER_CALLER * 9 / 10);
+    assert_true(successes >= (uint32_t)CALLERS * REQUESTS_PER_CALLER * 9 / 10);
     TestSite_Stop(&site);
     for (i = 0; i < SERVICES; i++) {
         shutdown(servers[i].listener, SHUT_RDWR);
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -29,7 +29,7 @@
 
 #define MS HR_NS_PER_MS
 #define ROUNDS_MAX 2000
-#define BUFFERED_MAX_BYTES 200000
+#define BUFFERED_MAX_BYTES ((size_t)200000)
 
 /* A client, and a listening socket of a faulty server. */
 typedef struct Fixture {
