--- a/review/standins-2/world.c
+++ b/review/standins-2/world.c
@@ -363,15 +363,31 @@
     return fd;
 }
 
-/* Returns a free port, for a listener of a gateway. */
+/* Returns a free port, for a listener of a gateway: below those that the
+ * kernel gives to outgoing connections, which could take it while the gateway
+ * is down. */
 static uint16_t
 find_free_port(void)
 {
-    uint16_t port;
-    int fd = open_listener(&port);
+    static uint32_t next;
 
-    close(fd);
-    return port;
+    if (next == 0) {
+        next = (uint32_t)getpid() * 37 % 11000;
+    }
+    for (;;) {
+        struct sockaddr_in in = {.sin_family = AF_INET,
+                                 .sin_addr.s_addr = htonl(INADDR_ANY)};
+        uint16_t port = (uint16_t)(20000 + next++ % 11000);
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        int rc;
+
+        in.sin_port = htons(port);
+        rc = bind(fd, (struct sockaddr *)&in, sizeof(in));
+        close(fd);
+        if (rc == 0) {
+            return port;
+        }
+    }
 }
 
 static void
@@ -749,6 +765,18 @@
     pthread_mutex_unlock(&mutex);
 }
 
+void
+World_ReplaceEntry(const WorldServer *server, const char *text)
+{
+    char key[64], *encoded = encode_base64(text);
+
+    snprintf(key, sizeof(key), "servers/%s", server->id);
+    pthread_mutex_lock(&mutex);
+    write_key(key, encoded, 0);
+    pthread_mutex_unlock(&mutex);
+    free(encoded);
+}
+
 static void *
 run_check_ins(void *arg)
 {
@@ -979,6 +1007,63 @@
     return ready;
 }
 
+/* Writes the settings of a gateway as the template renders them, and starts
+ * it. */
+static void
+start_gateway(WorldGateway *gateway, bool first_start)
+{
+    /* Gateways of several scripts at a time don't meet. */
+    uint32_t net = 10 + (uint32_t)getpid() % 200;
+    char path[64], log[64];
+    FILE *file;
+
+    snprintf(path, sizeof(path), "gateway-%u.json", gateway->index);
+    snprintf(log, sizeof(log), "gateway-%u.log", gateway->index);
+    file = fopen(path, "w");
+    fprintf(file,
+            "{\"gateway\":{\"name\":\"frontend-%u\","
+            "\"data_centre\":\"almaty-a\",\"region\":\"almaty\","
+            "\"log_level\":\"info\","
+            "\"caller_listen\":\"127.0.0.1:%u\","
+            "\"readiness_listen\":\"127.0.0.1:%u\","
+            "\"directory_listen\":\"127.0.0.1:%u\","
+            "\"control_listen\":\"127.0.%u.%u:%u\","
+            "\"metrics_listen\":\"127.0.0.1:%u\","
+            "\"peer_address\":\"127.0.%u.%u:%u\","
+            "\"peer_seeds\":[\"127.0.%u.21:%u\",\"127.0.%u.22:%u\","
+            "\"127.0.%u.23:%u\"],\"store_address\":\"127.0.0.1:%u\","
+            "\"max_connections\":1000,\"cpu_share\":0.5,\"cpu_cores\":1,"
+            "\"repeat_ratio\":0.2,\"repeat_slack\":52,"
+            "\"repeat_window_s\":10,\"first_start\":%d,"
+            "\"stop_grace_s\":6,\"directory_keep_max_s\":5,"
+            "\"lease_min_ms\":1000}}\n",
+            gateway->index, gateway->caller_port, gateway->readiness_port,
+            gateway->directory_port, net, 21 + gateway->index,
+            gateway->control_port, gateway->metrics_port, net,
+            21 + gateway->index, gateway->peer_port, net,
+            gateway->control_port, net, gateway->control_port, net,
+            gateway->control_port, gateway->store_port, first_start ? 1 : 0);
+    fclose(file);
+    gateway->pid = fork();
+    if (gateway->pid == 0) {
+        const char *program = getenv("GATEWAY_PROGRAM");
+        int fd = open(log, O_CREAT | O_APPEND | O_WRONLY, 0644);
+
+        /* It doesn't outlive the test. */
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        dup2(fd, 1);
+        dup2(fd, 2);
+        execl(program, program, "--settings", path, (char *)NULL);
+        _exit(127);
+    }
+}
+
+void
+World_RestartGateway(WorldGateway *gateway)
+{
+    start_gateway(gateway, false);
+}
+
 bool
 World_StartGateways(WorldGateway *gateways, uint32_t count,
                     uint16_t gateway_store_port)
@@ -988,49 +1073,15 @@
     uint32_t i;
 
     for (i = 0; i < count; i++) {
-        WorldGateway *gateway = &gateways[i];
-        char path[64], log[64];
-        FILE *file;
-
-        gateway->caller_port = find_free_port();
-        gateway->readiness_port = find_free_port();
-        gateway->store_port = gateway_store_port;
-        snprintf(path, sizeof(path), "gateway-%u.json", i);
-        snprintf(log, sizeof(log), "gateway-%u.log", i);
-        file = fopen(path, "w");
-        fprintf(file,
-                "{\"gateway\":{\"name\":\"frontend-%u\","
-                "\"data_centre\":\"almaty-a\",\"region\":\"almaty\","
-                "\"log_level\":\"info\","
-                "\"caller_listen\":\"127.0.0.1:%u\","
-                "\"readiness_listen\":\"127.0.0.1:%u\","
-                "\"directory_listen\":\"127.0.0.1:%u\","
-                "\"control_listen\":\"127.0.0.%u:%u\","
-                "\"metrics_listen\":\"127.0.0.%u:%u\","
-                "\"peer_address\":\"127.0.0.%u:%u\","
-                "\"peer_seeds\":[\"127.0.0.21:%u\",\"127.0.0.22:%u\","
-                "\"127.0.0.23:%u\"],\"store_address\":\"127.0.0.1:%u\","
-                "\"max_connections\":1000,\"cpu_share\":0.5,\"cpu_cores\":1,"
-                "\"repeat_ratio\":0.2,\"repeat_slack\":52,"
-                "\"repeat_window_s\":10,\"first_start\":1,"
-                "\"stop_grace_s\":6,\"directory_keep_max_s\":5,"
-                "\"lease_min_ms\":1000}}\n",
-                i, gateway->caller_port, gateway->readiness_port,
-                find_free_port(), 21 + i, control, 21 + i, find_free_port(),
-                21 + i, peer, control, control, control, gateway_store_port);
-        fclose(file);
-        gateway->pid = fork();
-        if (gateway->pid == 0) {
-            const char *program = getenv("GATEWAY_PROGRAM");
-            int fd = open(log, O_CREAT | O_TRUNC | O_WRONLY, 0644);
-
-            /* It doesn't outlive the test. */
-            prctl(PR_SET_PDEATHSIG, SIGKILL);
-            dup2(fd, 1);
-            dup2(fd, 2);
-            execl(program, program, "--settings", path, (char *)NULL);
-            _exit(127);
-        }
+        gateways[i] = (WorldGateway){.caller_port = find_free_port(),
+                                     .readiness_port = find_free_port(),
+                                     .directory_port = find_free_port(),
+                                     .metrics_port = find_free_port(),
+                                     .control_port = control,
+                                     .peer_port = peer,
+                                     .store_port = gateway_store_port,
+                                     .index = i};
+        start_gateway(&gateways[i], true);
     }
     end_ms = World_NowMs() + 20000;
     for (i = 0; i < count; i++) {
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -47,7 +47,12 @@
     pid_t pid;
     uint16_t caller_port;
     uint16_t readiness_port;
-    uint16_t store_port; /* of its path to the store */
+    uint16_t directory_port;
+    uint16_t metrics_port;
+    uint16_t control_port; /* the same for all */
+    uint16_t peer_port;    /* the same for all */
+    uint16_t store_port;   /* of its path to the store */
+    uint32_t index;
 } WorldGateway;
 
 /* A proxy. World_SilenceRelay makes its open connections silent for good: it
@@ -83,6 +88,10 @@
 /* Removes the entry of a server, which goes on to serve. */
 void World_UnlistServer(WorldServer *server);
 
+/* Another writer replaces the entry of a server by a text. The server's next
+ * check-in replaces that. */
+void World_ReplaceEntry(const WorldServer *server, const char *text);
+
 void World_StartRelay(WorldRelay *relay, uint16_t target_port);
 void World_SilenceRelay(WorldRelay *relay);
 uint16_t World_GetStorePort(void);
@@ -93,6 +102,9 @@
 bool World_StartGateways(WorldGateway *gateways, uint32_t count,
                          uint16_t store_port);
 
+/* Starts a gateway again that has ended. */
+void World_RestartGateway(WorldGateway *gateway);
+
 /* Ends all gateways with SIGTERM, and with SIGKILL after 8 s. */
 void World_StopGateways(WorldGateway *gateways, uint32_t count);
 
