Record each request of review case 6

Cause: the record held the odd entries, the kills and the wrong answers only, not what was sent, answered and run.

Change: one line each for a request sent, its runs and its answer.

--- a/review/standins-2/entry-without-start.c
+++ b/review/standins-2/entry-without-start.c
@@ -33,6 +33,7 @@
         return true;
     }
     World_GetHeader(request, "Hickoryrouter-Request-Id", id, sizeof(id));
+    World_Record("%s runs at %s", id, server->id);
     World_SleepMs(5);
     snprintf(digest, sizeof(digest), "%s.%s.%s", server->service, server->id,
              id);
@@ -93,6 +94,7 @@
                           id);
         answer->body = NULL;
         answer->status = 0;
+        World_Record("%s sent to gateway %u", id, index);
         if (fd < 0) {
             fd = World_Connect(gateways[index].caller_port, 0);
         }
@@ -101,6 +103,7 @@
             close(fd);
             fd = -1;
         }
+        World_Record("%s answered with %d", id, answer->status);
         if (answer->status == 200) {
             __atomic_add_fetch(&answers, 1, __ATOMIC_SEQ_CST);
             if (!is_sound(answer, id, digests, sizeof(digests))) {
