--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -224,15 +224,17 @@
 
 /* Opens a listener on a port of the loopback address that never answers. */
 static int
-open_silent_listener(uint16_t port)
+open_silent_listener(uint16_t *port)
 {
     struct sockaddr_in in = {.sin_family = AF_INET,
-                             .sin_port = htons(port),
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t length = sizeof(in);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
     assert_int_equal(bind(fd, (struct sockaddr *)&in, sizeof(in)), 0);
     assert_int_equal(listen(fd, 8), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&in, &length), 0);
+    *port = ntohs(in.sin_port);
     return fd;
 }
 
@@ -277,8 +279,8 @@
 static void
 test_fetch_repeated_on_new_connection(void **state)
 {
-    uint16_t port = TestPort_FindFree();
-    int listen_fd = open_silent_listener(port), first, second;
+    uint16_t port;
+    int listen_fd = open_silent_listener(&port), first, second;
     int64_t asked_ms;
     TestSite site;
 
