Repeat a read of the store also when a new connection is silent

Cause: only a call on a connection that had been open before was repeated, on one new connection, because a new connection without an answer was taken for a store without one. If the connections go silent as the repetition, or a first call on a new connection, is under way, the read waits 1.5 s and fails, the delay of the next one doubles each time, and the gap counts as an outage after which missing servers are kept for 2.3 s. Change: while a read or watch is not answered it is repeated on a new connection after each 0.4 s (a watch: 0.4 s after its end), three times at most. A new connection that fails still ends the call.

--- a/src/daemon-gateway-store.c
+++ b/src/daemon-gateway-store.c
@@ -3,9 +3,9 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Most requests that carry one call: the first, and its repetition on a new
- * connection. */
-#define ATTEMPTS_MAX 2
+/* Most requests that carry one call: the first, and its repetitions on new
+ * connections. */
+#define ATTEMPTS_MAX 4
 
 /* A request that carries a call. */
 typedef struct StoreAttempt {
@@ -19,10 +19,12 @@
     HrStoreCall call; /* filled in by the owner of the channel */
     HrBuffer head;    /* of the requests that carry the call */
     StoreAttempt attempts[ATTEMPTS_MAX];
-    bool may_repeat;    /* the first request may still be repeated */
-    bool busy;          /* a call is in progress: fn has to be called */
-    int64_t timeout_ns; /* of the call, after the repetition */
-    HrLoopTimer *timer; /* repeats or ends a call */
+    uint32_t attempt_count;  /* requests sent for the call */
+    bool repeats_failed_new; /* a failure on a new connection is repeated */
+    bool busy;               /* a call is in progress: fn has to be called */
+    int64_t repeat_ns;       /* period of the repetitions; 0: there are none */
+    int64_t deadline_ns;     /* when the call fails */
+    HrLoopTimer *timer;      /* repeats or ends a call */
     HrStoreAnswerFn *fn;
     void *arg;
 };
@@ -51,12 +53,27 @@
 {
     uint32_t i;
 
-    for (i = 0; i < ATTEMPTS_MAX; i++) {
+    for (i = 0; i < channel->attempt_count; i++) {
         if (channel->attempts[i].conn != NULL) {
             HrH1ClientConn_AbandonRequest(channel->attempts[i].conn, 0);
             channel->attempts[i].conn = NULL;
         }
     }
+    channel->attempt_count = 0;
+}
+
+/* Returns true if a request of the call is in progress. */
+static bool
+has_open_attempt(const HrStoreChannel *channel)
+{
+    uint32_t i;
+
+    for (i = 0; i < channel->attempt_count; i++) {
+        if (channel->attempts[i].conn != NULL) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* Ends the call, and passes its result to the owner of the channel. */
@@ -65,18 +82,17 @@
 {
     abandon_attempts(channel);
     channel->busy = false;
-    channel->may_repeat = false;
     HrLoop_SetTimer(channel->gateway->loop, channel->timer, HR_TIME_NEVER);
     channel->fn(channel->arg, status, body, era);
 }
 
 static void handle_result(void *arg, const HrH1Result *result);
 
-/* Sends the call as one request. Returns false if it cannot be sent. */
+/* Sends the call as one more request. Returns false if it cannot be sent. */
 static bool
-send_attempt(HrStoreChannel *channel, uint32_t index, bool fresh)
+send_attempt(HrStoreChannel *channel, bool fresh)
 {
-    StoreAttempt *attempt = &channel->attempts[index];
+    StoreAttempt *attempt = &channel->attempts[channel->attempt_count];
     const HrH1Request request = {
         .head = {HrBuffer_GetData(&channel->head),
                  HrBuffer_GetLength(&channel->head)},
@@ -88,42 +104,68 @@
     attempt->channel = channel;
     attempt->conn = HrH1Target_SendRequest(channel->store, &request,
                                            handle_result, attempt);
+    channel->attempt_count += attempt->conn != NULL;
     return attempt->conn != NULL;
 }
 
-/* Sends the call once more, on a new connection: the one before has failed or
- * may be silent. The first request stays in progress, because a slow store may
- * still answer it. Returns false if the call cannot be sent. */
+/* Returns true if the call may be sent once more. */
+static bool
+may_repeat(const HrStoreChannel *channel)
+{
+    return channel->repeat_ns > 0 && channel->attempt_count < ATTEMPTS_MAX;
+}
+
+/* Sets the timer for the next repetition, or for the failure of the call if
+ * that is earlier. */
+static void
+schedule_repeat(HrStoreChannel *channel)
+{
+    int64_t repeat_ns =
+        may_repeat(channel)
+            ? HrLoop_NowNs(channel->gateway->loop) + channel->repeat_ns
+            : channel->deadline_ns;
+
+    HrLoop_SetTimer(channel->gateway->loop, channel->timer,
+                    repeat_ns < channel->deadline_ns ? repeat_ns
+                                                     : channel->deadline_ns);
+}
+
+/* Sends the call once more, on a new connection: the ones before have failed
+ * or may be silent. Their requests stay in progress, because a slow store may
+ * still answer them. Returns false if the call cannot be sent. */
 static bool
 repeat_call(HrStoreChannel *channel)
 {
-    channel->may_repeat = false;
     HrStoreChannel_AvoidIdleConnections(channel);
     HrCounters_Add(&channel->gateway->counters, HR_COUNTER_config_store_calls,
                    1);
     HrCounters_Add(&channel->gateway->counters,
                    HR_COUNTER_store_calls_repeated, 1);
-    HrLoop_SetTimer(channel->gateway->loop, channel->timer,
-                    HrLoop_NowNs(channel->gateway->loop) +
-                        channel->timeout_ns);
-    return send_attempt(channel, 1, true);
+    if (!send_attempt(channel, true)) {
+        return false;
+    }
+    schedule_repeat(channel);
+    return true;
 }
 
 /* Repeats a call that is not answered in time on a new connection, or ends it
- * if that is not permitted or was done before. */
+ * at its deadline. */
 static void
 handle_timeout(void *arg)
 {
     HrStoreChannel *channel = arg;
 
-    if (channel->may_repeat && repeat_call(channel)) {
+    if (HrLoop_NowNs(channel->gateway->loop) < channel->deadline_ns &&
+        may_repeat(channel) && repeat_call(channel)) {
         return;
     }
     HrStoreChannel_AvoidIdleConnections(channel);
     finish_call(channel, 0, (HrBytes){0}, 0);
 }
 
-/* Ends the call if it was answered, or if its last request has failed. */
+/* Ends the call if it was answered, or if its last request in progress has
+ * failed. If that was sent on a connection which had been open before, the
+ * failure may be that of the connection only. */
 static void
 handle_result(void *arg, const HrH1Result *result)
 {
@@ -136,13 +178,17 @@
                     HrStoreAnswer_ReadEra(result->headers));
         return;
     }
-    if (channel->attempts[0].conn != NULL ||
-        channel->attempts[1].conn != NULL) {
+    if (has_open_attempt(channel)) {
         return;
     }
-    if (!channel->may_repeat || !repeat_call(channel)) {
-        finish_call(channel, 0, (HrBytes){0}, 0);
+    if ((!result->fresh || channel->repeats_failed_new) &&
+        may_repeat(channel)) {
+        channel->repeats_failed_new = false;
+        if (repeat_call(channel)) {
+            return;
+        }
     }
+    finish_call(channel, 0, (HrBytes){0}, 0);
 }
 
 HrStoreChannel *
@@ -185,7 +231,6 @@
 {
     abandon_attempts(channel);
     channel->busy = false;
-    channel->may_repeat = false;
     HrLoop_SetTimer(channel->gateway->loop, channel->timer, HR_TIME_NEVER);
 }
 
@@ -195,7 +240,6 @@
 {
     HrGateway *gateway = channel->gateway;
     size_t body_bytes = HrBuffer_GetLength(&channel->call.body);
-    uint64_t opened_count = HrH1Client_GetOpenedCount(gateway->store_client);
     bool sent;
 
     HrBuffer_Truncate(&channel->head, 0);
@@ -210,22 +254,24 @@
     }
     HrBuffer_AppendFormat(&channel->head, "\r\n");
     channel->busy = true;
-    channel->timeout_ns = timeouts->timeout_ns;
-    sent = send_attempt(channel, 0, false);
-    /* Only a call on a connection that was open before is repeated: if a new
-     * connection fails or is not answered, so is the store. A seed that is not
-     * ready repeats it also then: after a loss of all VMs during an outage the
-     * callers of all gateways wait for the first answer to a seed. Writes are
-     * not repeated, because a silent connection may deliver them late. */
-    channel->may_repeat =
-        sent && timeouts->repeat_ns > 0 &&
-        strcmp(channel->call.method, "GET") == 0 &&
-        (HrH1Client_GetOpenedCount(gateway->store_client) == opened_count ||
-         (!gateway->was_ready && HrGatewaySettings_IsSeed(gateway->settings)));
-    /* If the call could not be sent, the timer ends it at once. */
-    HrLoop_SetTimer(gateway->loop, channel->timer,
-                    HrLoop_NowNs(gateway->loop) +
-                        (!sent                 ? 0
-                         : channel->may_repeat ? timeouts->repeat_ns
-                                               : timeouts->timeout_ns));
+    /* Writes are not repeated, because a silent connection may deliver them
+     * late. */
+    channel->repeat_ns =
+        strcmp(channel->call.method, "GET") == 0 ? timeouts->repeat_ns : 0;
+    channel->deadline_ns = HrLoop_NowNs(gateway->loop) + channel->repeat_ns +
+                           timeouts->timeout_ns;
+    /* If a new connection fails, so does the store, and the call is not
+     * repeated. A seed that is not ready repeats it once: after a loss of all
+     * VMs during an outage the callers of all gateways wait for the first
+     * answer to a seed. */
+    channel->repeats_failed_new =
+        !gateway->was_ready && HrGatewaySettings_IsSeed(gateway->settings);
+    sent = send_attempt(channel, false);
+    if (sent) {
+        schedule_repeat(channel);
+        return;
+    }
+    /* The timer ends the call at once. */
+    channel->deadline_ns = HrLoop_NowNs(gateway->loop);
+    HrLoop_SetTimer(gateway->loop, channel->timer, channel->deadline_ns);
 }
--- a/src/daemon-gateway-store.h
+++ b/src/daemon-gateway-store.h
@@ -37,13 +37,13 @@
 
 /* Time limits of a call. */
 typedef struct HrStoreTimeouts {
-    /* A read or watch that was sent on a connection which had been open before
-     * is repeated on a new one if it is not answered within this time, or at
-     * once if that connection fails: open connections may go silent while new
-     * ones work. 0: never. */
+    /* While a read or watch is not answered, it is repeated on a new
+     * connection after each such time, a few times; or at once if a connection
+     * fails that had been open before. Connections may go silent while new
+     * ones work, also a connection that is new itself. 0: never. */
     int64_t repeat_ns;
-    /* The call fails if it is not answered within this time after its last
-     * request was sent. */
+    /* The call fails if it is not answered within this time after it is first
+     * repeated, or sent if it is never repeated. */
     int64_t timeout_ns;
 } HrStoreTimeouts;
 
--- a/tests/common-relay.c
+++ b/tests/common-relay.c
@@ -8,6 +8,7 @@
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -15,6 +16,8 @@
 
 #include <cmocka.h>
 
+#include "common-process.h"
+
 #define PAIRS_MAX 256
 #define POLL_MS 20
 #define CHUNK_BYTES 65536
@@ -28,12 +31,15 @@
 
 struct TestRelay {
     pthread_t thread;
-    pthread_mutex_t mutex; /* guards fault and pairs */
+    pthread_mutex_t mutex; /* guards the fields from fault on */
     int listen_fd;
     uint16_t port;
     uint16_t target_port;
     bool stop; /* accessed atomically */
     TestRelayFault fault;
+    char silence_text[64];
+    uint32_t silence_count; /* how often the text still silences connections */
+    int64_t silenced_ms;
     Pair pairs[PAIRS_MAX];
 };
 
@@ -58,6 +64,23 @@
     pair->silent = false;
 }
 
+/* Stops forwarding on all open connections. Returns their number. The mutex is
+ * held. */
+static uint32_t
+silence_pairs(TestRelay *relay)
+{
+    uint32_t i, count = 0;
+
+    for (i = 0; i < PAIRS_MAX; i++) {
+        if (relay->pairs[i].fd[0] >= 0) {
+            relay->pairs[i].silent = true;
+            count++;
+        }
+    }
+    relay->silenced_ms = TestClock_GetWallMs();
+    return count;
+}
+
 /* Connects to the target for an accepted connection. Closes the accepted
  * connection if the target refuses or no entry is unused. */
 static void
@@ -121,6 +144,23 @@
     }
 }
 
+/* Silences all connections if the bytes that the client has sent on one of
+ * them contain the text that does so. */
+static void
+check_silence_text(TestRelay *relay, const Pair *pair)
+{
+    char chunk[4096];
+    ssize_t length =
+        recv(pair->fd[0], chunk, sizeof(chunk), MSG_PEEK | MSG_DONTWAIT);
+
+    if (relay->silence_count > 0 && length > 0 &&
+        memmem(chunk, (size_t)length, relay->silence_text,
+               strlen(relay->silence_text)) != NULL) {
+        relay->silence_count--;
+        silence_pairs(relay);
+    }
+}
+
 /* Forwards the received bytes of all pairs that are not silent. */
 static void
 forward_pairs(TestRelay *relay, const struct pollfd *polls)
@@ -130,6 +170,10 @@
     for (i = 0; i < PAIRS_MAX; i++) {
         Pair *pair = &relay->pairs[i];
 
+        if (relay->silence_count > 0 && polls[1 + 2 * i].revents != 0 &&
+            !pair->silent && pair->fd[0] >= 0) {
+            check_silence_text(relay, pair);
+        }
         for (side = 0; side < 2; side++) {
             if (polls[1 + 2 * i + side].revents != 0 && !pair->silent &&
                 pair->fd[0] >= 0 &&
@@ -202,19 +246,36 @@
 uint32_t
 TestRelay_SilenceConnections(TestRelay *relay)
 {
-    uint32_t i, count = 0;
+    uint32_t count;
 
     pthread_mutex_lock(&relay->mutex);
-    for (i = 0; i < PAIRS_MAX; i++) {
-        if (relay->pairs[i].fd[0] >= 0) {
-            relay->pairs[i].silent = true;
-            count++;
-        }
-    }
+    count = silence_pairs(relay);
     pthread_mutex_unlock(&relay->mutex);
     return count;
 }
 
+/* Silences all connections when a text arrives. */
+void
+TestRelay_SilenceAtText(TestRelay *relay, const char *text, uint32_t count)
+{
+    pthread_mutex_lock(&relay->mutex);
+    snprintf(relay->silence_text, sizeof(relay->silence_text), "%s", text);
+    relay->silence_count = count;
+    pthread_mutex_unlock(&relay->mutex);
+}
+
+/* Returns when connections were last silenced. */
+int64_t
+TestRelay_GetSilencedMs(TestRelay *relay)
+{
+    int64_t silenced_ms;
+
+    pthread_mutex_lock(&relay->mutex);
+    silenced_ms = relay->silenced_ms;
+    pthread_mutex_unlock(&relay->mutex);
+    return silenced_ms;
+}
+
 /* Sets the current fault. */
 void
 TestRelay_SetFault(TestRelay *relay, TestRelayFault fault)
--- a/tests/common-relay.h
+++ b/tests/common-relay.h
@@ -19,6 +19,14 @@
  * closing them. Returns their number. */
 uint32_t TestRelay_SilenceConnections(TestRelay *relay);
 
+/* Makes all open connections silent when one of them receives bytes from the
+ * client that contain a text, which are not forwarded; count times. */
+void TestRelay_SilenceAtText(TestRelay *relay, const char *text,
+                             uint32_t count);
+
+/* Returns the time (TestClock_GetWallMs) of the last silencing; 0: never. */
+int64_t TestRelay_GetSilencedMs(TestRelay *relay);
+
 /* Faults of a relay, applied to all of its connections. */
 typedef enum TestRelayFault {
     TEST_RELAY_NO_FAULT,
--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -32,6 +32,13 @@
  * (drainTimeoutMs), and for how long requests are sent after that. */
 #define DRAIN_MS 3000
 #define AFTER_DRAIN_MS 3000
+/* Connections that went silent count as a disruption for this time
+ * (contactWindowMs). */
+#define CONTACT_MS 4000
+/* How often in a row connections go silent at a call. */
+#define SILENCES 5
+/* Begin of a read of the list of servers. */
+#define LIST_CALL "GET /api/kv-range?prefix=servers"
 /* Time after which a document that does not arrive is asked for again. */
 #define FETCH_REPEAT_MS 1500
 /* Long enough for a failed attempt of each gateway to reach the store. */
@@ -222,6 +229,52 @@
     assert_int_equal(at_end - at_limit, 0);
 }
 
+/* Returns the time after which no request may reach a server whose entry was
+ * removed at removed_ms. It moves on while connections still go silent. */
+static int64_t
+get_drain_end_ms(TestRelay *relay, int64_t removed_ms)
+{
+    int64_t silenced_ms = TestRelay_GetSilencedMs(relay);
+
+    return removed_ms + DRAIN_MS > silenced_ms + CONTACT_MS
+               ? removed_ms + DRAIN_MS
+               : silenced_ms + CONTACT_MS;
+}
+
+/* Guards against the same failure when the connections go silent several
+ * times, each time as the list is read: a read on a new connection was waited
+ * for until it failed, and the delay of the next one doubled. The only gateway
+ * has no other one to get the list from. */
+static void
+test_removal_despite_series_of_silences(void **state)
+{
+    TestRelay *relays[GATEWAYS_MAX] = {NULL};
+    TestSite site;
+    int64_t before, at_limit, at_end, removed_ms;
+
+    (void)state;
+    start_site(&site, 1, relays);
+    send_requests(&site, SETTLE_MS);
+    before = count_received(&site, "i-0-0");
+    TestRelay_SilenceAtText(relays[0], LIST_CALL, SILENCES);
+    TestSite_SendControl(&site, "/test/server?id=i-0-0&mode=remove", "");
+    removed_ms = TestClock_GetWallMs();
+    while (TestClock_GetWallMs() <= get_drain_end_ms(relays[0], removed_ms)) {
+        send_requests(&site, 10);
+    }
+    at_limit = count_received(&site, "i-0-0");
+    print_message(
+        "last silence %lld ms after the removal\n",
+        (long long)(TestRelay_GetSilencedMs(relays[0]) - removed_ms));
+    send_requests(&site, AFTER_DRAIN_MS);
+    at_end = count_received(&site, "i-0-0");
+    print_message("requests before the removal %lld, after the limit %lld\n",
+                  (long long)before, (long long)(at_end - at_limit));
+    stop_site(&site, relays);
+    assert_true(before > 0);
+    assert_int_equal(at_end - at_limit, 0);
+}
+
 /* Opens a listener on a port of the loopback address that never answers. */
 static int
 open_silent_listener(uint16_t *port)
@@ -306,6 +359,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_fetch_repeated_on_new_connection),
         cmocka_unit_test(test_removal_despite_silent_links),
+        cmocka_unit_test(test_removal_despite_series_of_silences),
         cmocka_unit_test(test_routes_despite_silent_links),
         cmocka_unit_test(test_routes_after_first_watcher_died),
         cmocka_unit_test(test_routes_after_outage_and_lost_watchers),
