Ask another gateway for a document again when the second request is silent too

A gateway whose list of servers comes late takes the gap for an outage and keeps servers that left. Cause: a request for a list or the routes was repeated once, after 0.8 s. If the connections between gateways go silent as the second request is under way, the gateway waits 2.5 s for it and fetches no other document of that kind. Change: a request on whose connection nothing is received for 0.8 s is sent again, twice at most; the last one may take 1.7 s. One that still receives bytes goes on for 2.5 s, the first one too.

--- a/src/daemon-gateway-peers.c
+++ b/src/daemon-gateway-peers.c
@@ -34,10 +34,15 @@
  * time. */
 #define PEER_CONNECT_TIMEOUT_NS (300 * HR_NS_PER_MS)
 
-/* A request for a document is sent once more, on a new connection, if it is
- * not answered within this time: its connection may have gone silent. A large
+/* A request for a document is sent again, on a new connection, if nothing is
+ * received for this time: its connection may have gone silent. A large
  * document takes 0.2 s on a slow link that it shares with other transfers. */
-#define FETCH_REPEAT_NS (800 * HR_NS_PER_MS)
+#define FETCH_SILENT_NS (800 * HR_NS_PER_MS)
+
+/* Most requests for one document, and the limit for the last one, which leaves
+ * time for a gateway that is slow. */
+#define FETCH_REQUESTS_MAX 3
+#define FETCH_LAST_SILENT_NS (1700 * HR_NS_PER_MS)
 
 /* Maximum length of a fetched document. */
 #define FETCH_MAX_BYTES ((size_t)32 * 1024 * 1024)
@@ -65,7 +70,7 @@
     char source[HR_VM_NAME_BYTES];
     char address[HR_VM_ADDRESS_BYTES]; /* control address of the source */
     char query[32];                    /* appended to the path */
-    bool is_repeated;                  /* this is the second request */
+    uint32_t request_count;            /* sent for this document */
 };
 
 struct HrGatewayPeers {
@@ -90,6 +95,23 @@
     fetch->conn = NULL;
 }
 
+/* Returns when the request in progress is given up if nothing more is received
+ * until then. */
+static int64_t
+get_fetch_limit_ns(const PeerFetch *fetch)
+{
+    int64_t silent_ns = fetch->request_count < FETCH_REQUESTS_MAX
+                            ? FETCH_SILENT_NS
+                            : FETCH_LAST_SILENT_NS;
+    int64_t received_ns = HrH1ClientConn_GetReceivedNs(fetch->conn);
+    int64_t end_ns = fetch->requested_ns + HR_LIST_SYNC_TRANSFER_TIMEOUT_NS;
+    int64_t limit_ns =
+        silent_ns + (received_ns > fetch->requested_ns ? received_ns
+                                                       : fetch->requested_ns);
+
+    return limit_ns < end_ns ? limit_ns : end_ns;
+}
+
 static void handle_fetch_result(void *arg, const HrH1Result *result);
 
 /* Sends the request for a document on a new connection. Does nothing if the
@@ -115,25 +137,26 @@
                          fetch->path, fetch->query, fetch->address);
     fetch->conn = HrH1Target_SendRequest(fetch->target, &request,
                                          handle_fetch_result, fetch);
+    fetch->request_count++;
     HrLoop_SetTimer(gateway->loop, fetch->timer,
-                    fetch->requested_ns +
-                        (fetch->conn == NULL ? 0
-                         : fetch->is_repeated
-                             ? HR_LIST_SYNC_TRANSFER_TIMEOUT_NS
-                             : FETCH_REPEAT_NS));
+                    fetch->conn != NULL ? get_fetch_limit_ns(fetch) : 0);
 }
 
-/* Repeats a request that was not answered in time, or logs and ends it if it
- * was repeated before or could not be sent. */
+/* Repeats a request if nothing is received for too long. Logs and ends it if
+ * it was repeated often enough or could not be sent. */
 static void
 handle_fetch_timeout(void *arg)
 {
     PeerFetch *fetch = arg;
+    HrLoop *loop = fetch->peers->gateway->loop;
     bool was_sent = fetch->conn != NULL;
 
+    if (was_sent && HrLoop_NowNs(loop) < get_fetch_limit_ns(fetch)) {
+        HrLoop_SetTimer(loop, fetch->timer, get_fetch_limit_ns(fetch));
+        return;
+    }
     finish_fetch(fetch);
-    if (was_sent && !fetch->is_repeated) {
-        fetch->is_repeated = true;
+    if (was_sent && fetch->request_count < FETCH_REQUESTS_MAX) {
         send_fetch(fetch);
         return;
     }
@@ -177,7 +200,7 @@
     snprintf(fetch->address, sizeof(fetch->address), "%s",
              source->control_address);
     snprintf(fetch->query, sizeof(fetch->query), "%s", query);
-    fetch->is_repeated = false;
+    fetch->request_count = 0;
     send_fetch(fetch);
 }
 
--- a/src/trans-h1-client.c
+++ b/src/trans-h1-client.c
@@ -476,6 +476,14 @@
     conn->deadline_ns = HrLoop_NowNs(conn->target->client->loop) + wait_ns;
 }
 
+/* Returns when bytes were last received, in nanoseconds of the loop's clock.
+ */
+int64_t
+HrH1ClientConn_GetReceivedNs(const HrH1ClientConn *conn)
+{
+    return conn->received_ns;
+}
+
 /* Returns true if a part of the request may have been sent. */
 bool
 HrH1ClientConn_MayHaveSentRequest(const HrH1ClientConn *conn)
--- a/src/trans-h1-client.h
+++ b/src/trans-h1-client.h
@@ -116,6 +116,9 @@
  * closed at once; most servers then stop processing the request. */
 void HrH1ClientConn_AbandonRequest(HrH1ClientConn *conn, int64_t wait_ns);
 
+/* Returns when bytes were last received on the connection; 0: never. */
+int64_t HrH1ClientConn_GetReceivedNs(const HrH1ClientConn *conn);
+
 /* Returns true if a part of the request may have been sent. */
 bool HrH1ClientConn_MayHaveSentRequest(const HrH1ClientConn *conn);
 
--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -39,8 +39,10 @@
 #define SILENCES 5
 /* Begin of a read of the list of servers. */
 #define LIST_CALL "GET /api/kv-range?prefix=servers"
-/* Time after which a document that does not arrive is asked for again. */
+/* Time after which a document that does not arrive is asked for again, and
+ * how often it is. */
 #define FETCH_REPEAT_MS 1500
+#define FETCHES 3
 /* Long enough for a failed attempt of each gateway to reach the store. */
 #define OUTAGE_MS 4000
 
@@ -328,29 +330,35 @@
 }
 
 /* Guards against a gateway that waits for a list of servers on a connection
- * that has gone silent while new ones work, and meanwhile fetches none. */
+ * that has gone silent while new ones work, and meanwhile fetches none; also
+ * if the connection on which it asked again goes silent too. */
 static void
 test_fetch_repeated_on_new_connection(void **state)
 {
     uint16_t port;
-    int listen_fd = open_silent_listener(&port), first, second;
-    int64_t asked_ms;
+    int listen_fd = open_silent_listener(&port), fds[FETCHES];
     TestSite site;
+    uint32_t i;
 
     (void)state;
     TestSite_Start(&site, WATCHER_COUNT, SERVICES, REPLICAS);
-    first = offer_list(&site, listen_fd, port, APPLY_MS);
-    asked_ms = TestClock_GetWallMs();
-    second = offer_list(&site, listen_fd, port, FETCH_REPEAT_MS);
-    print_message("asked again after %lld ms: %s\n",
-                  (long long)(TestClock_GetWallMs() - asked_ms),
-                  second >= 0 ? "yes" : "no");
-    close(first);
-    close(second);
+    for (i = 0; i < FETCHES; i++) {
+        int64_t asked_ms = TestClock_GetWallMs();
+
+        fds[i] = offer_list(&site, listen_fd, port,
+                            i == 0 ? APPLY_MS : FETCH_REPEAT_MS);
+        print_message("asked %u times, the last one after %lld ms: %s\n",
+                      i + 1, (long long)(TestClock_GetWallMs() - asked_ms),
+                      fds[i] >= 0 ? "yes" : "no");
+    }
+    for (i = 0; i < FETCHES; i++) {
+        close(fds[i]);
+    }
     close(listen_fd);
     TestSite_Stop(&site);
-    assert_true(first >= 0);
-    assert_true(second >= 0);
+    for (i = 0; i < FETCHES; i++) {
+        assert_true(fds[i] >= 0);
+    }
 }
 
 int
