Take a list that does not arrive for no outage if other gateways read it

Cause: a gateway took any gap of more than 2.5 s between the lists that it has received for an outage of the store, also if only its fetches failed while the hellos of other gateways stated that they had read the store meanwhile. Change: the gap is that between the newest lists that any gateway is known to have read.

--- a/src/coord-share.c
+++ b/src/coord-share.c
@@ -13,8 +13,8 @@
 #define RANK_STEP_NS (120 * HR_NS_PER_MS)
 #define RANK_STEPS_MAX 8
 
-/* If as_of_ns does not advance for longer than this, no daemon could read the
- * list. No entry expires in a shorter outage. */
+/* If contact_ns does not advance for longer than this, no daemon could read
+ * the list. No entry expires in a shorter outage. */
 #define OUTAGE_MIN_NS (2500 * HR_NS_PER_MS)
 
 /* Delay after a failed read; each further failure doubles it, up to
@@ -61,20 +61,31 @@
                : (int64_t)HrRng_DrawBelow(rng, (uint64_t)FIRST_READ_SPREAD_NS);
 }
 
-/* Raises the time at which the list is known to match the store. Notices the
- * end of an outage. */
+/* Raises the time at which a daemon is known to have read the list. Notices
+ * the end of an outage. */
 static void
-advance_as_of(HrListSync *sync, int64_t as_of_ns, int64_t now_ns)
+advance_contact(HrListSync *sync, int64_t contact_ns, int64_t now_ns)
 {
-    int64_t gap_ns = as_of_ns - sync->as_of_ns - sync->paused_ns;
+    int64_t gap_ns = contact_ns - sync->contact_ns - sync->paused_ns;
 
-    if (sync->as_of_ns > 0 && gap_ns > OUTAGE_MIN_NS) {
+    if (contact_ns <= sync->contact_ns) {
+        return;
+    }
+    if (sync->contact_ns > 0 && gap_ns > OUTAGE_MIN_NS) {
         sync->recovered_ns = now_ns;
     }
-    sync->as_of_ns = as_of_ns;
+    sync->contact_ns = contact_ns;
     sync->paused_ns = 0;
 }
 
+/* Raises the time at which the list is known to match the store. */
+static void
+advance_as_of(HrListSync *sync, int64_t as_of_ns, int64_t now_ns)
+{
+    advance_contact(sync, as_of_ns, now_ns);
+    sync->as_of_ns = as_of_ns;
+}
+
 /* Records that the complete list was read or copied. */
 void
 HrListSync_RecordList(HrListSync *sync, int64_t as_of_ns, int64_t now_ns)
@@ -103,6 +114,8 @@
     sync->failure_count++;
 }
 
+/* A list that is not received here, or late, shows nevertheless that there was
+ * no outage. */
 HrListSyncDecision
 HrListSync_HandlePeerList(HrListSync *sync, int64_t as_of_ns, bool is_same,
                           int64_t now_ns)
@@ -110,6 +123,7 @@
     if (as_of_ns <= sync->as_of_ns) {
         return HR_LIST_SYNC_IGNORE;
     }
+    advance_contact(sync, as_of_ns, now_ns);
     if (!is_same || sync->as_of_ns == 0) {
         return HR_LIST_SYNC_FETCH;
     }
--- a/src/coord-share.h
+++ b/src/coord-share.h
@@ -21,7 +21,9 @@
     int64_t recovered_ns; /* when the list was up to date again after an outage
                              in which no daemon could read it, or when the
                              store was found restored; 0: neither */
-    int64_t paused_ns;    /* total pauses of this process since as_of_ns */
+    int64_t contact_ns;   /* newest time at which a list of this daemon or of
+                             another one is known to have matched the store */
+    int64_t paused_ns;    /* total pauses of this process since contact_ns */
 } HrListSync;
 
 /* What to do about the version of the list that another daemon reports. */
--- a/tests/test-vm-set.c
+++ b/tests/test-vm-set.c
@@ -648,6 +648,34 @@
     }
 }
 
+/* Guards against servers that have left but are kept because the newest lists
+ * did not arrive: the gap was taken for an outage of the store, although other
+ * gateways reported that they read it. A gap in which none did is an outage.
+ */
+static void
+test_lost_lists_are_no_outage(void **state)
+{
+    int64_t now_ns = START_NS;
+    HrListSync sync;
+    uint32_t i;
+
+    (void)state;
+    HrListSync_Init(&sync, START_NS, 0);
+    HrListSync_RecordList(&sync, now_ns, now_ns);
+    for (i = 0; i < 3; i++) {
+        now_ns += HR_NS_PER_S;
+        assert_int_equal(
+            HrListSync_HandlePeerList(&sync, now_ns, false, now_ns),
+            HR_LIST_SYNC_FETCH);
+    }
+    HrListSync_RecordList(&sync, now_ns, now_ns + HR_NS_PER_S / 2);
+    assert_true(HrListSync_GetTimeSinceRecoveryNs(&sync, now_ns) ==
+                HR_TIME_NEVER);
+    now_ns += 3 * HR_NS_PER_S;
+    HrListSync_HandlePeerList(&sync, now_ns, false, now_ns);
+    assert_int_equal(HrListSync_GetTimeSinceRecoveryNs(&sync, now_ns), 0);
+}
+
 int
 main(void)
 {
@@ -673,6 +701,7 @@
         cmocka_unit_test(test_hello_round_trip),
         cmocka_unit_test(test_damaged_hello),
         cmocka_unit_test(test_vm_record_text),
+        cmocka_unit_test(test_lost_lists_are_no_outage),
     };
 
     return cmocka_run_group_tests(tests, TestParent_Create, TestParent_Free);
