Repeat a renewal of the lease on a new connection, like a read

Cause: a renewal whose connection was silent failed after 1.5 s, and was made again after 1, 2, 4 and 8 s. Meanwhile its gateway counted as one that does not reach the store. Change: calls state whether they may be repeated. Renewals may, since one that is executed late does no harm; grants and writes may not.

--- a/src/daemon-gateway-store.c
+++ b/src/daemon-gateway-store.c
@@ -1,6 +1,5 @@
 #include "daemon-gateway-store.h"
 
-#include <string.h>
 #include <talloc.h>
 
 /* Most requests that carry one call: the first, and its repetitions on new
@@ -256,8 +255,7 @@
     channel->busy = true;
     /* Writes are not repeated, because a silent connection may deliver them
      * late. */
-    channel->repeat_ns =
-        strcmp(channel->call.method, "GET") == 0 ? timeouts->repeat_ns : 0;
+    channel->repeat_ns = channel->call.is_repeatable ? timeouts->repeat_ns : 0;
     channel->deadline_ns = HrLoop_NowNs(gateway->loop) + channel->repeat_ns +
                            timeouts->timeout_ns;
     /* If a new connection fails, so does the store, and the call is not
--- a/src/daemon-gateway-store.h
+++ b/src/daemon-gateway-store.h
@@ -37,7 +37,7 @@
 
 /* Time limits of a call. */
 typedef struct HrStoreTimeouts {
-    /* While a read or watch is not answered, it is repeated on a new
+    /* While a repeatable call is not answered, it is repeated on a new
      * connection after each such time, a few times; or at once if a connection
      * fails that had been open before. Connections may go silent while new
      * ones work, also a connection that is new itself. 0: never. */
