Test that routes come into force although the reads and watches go silent

Cause: no test had connections go silent several times as the routes are watched and read. Change: one gateway, whose connections go silent at 5 calls in a row before a new route is written. It must be in force 3 s after it was written or 4 s after the last silence (configApplyMs and contactWindowMs of the sites).

--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -37,8 +37,10 @@
 #define CONTACT_MS 4000
 /* How often in a row connections go silent at a call. */
 #define SILENCES 5
-/* Begin of a read of the list of servers. */
+/* Part of a read of the list of servers, and of a read or watch of the routes.
+ */
 #define LIST_CALL "GET /api/kv-range?prefix=servers"
+#define ROUTES_CALL "?prefix=op/"
 /* Time after which a document that does not arrive is asked for again, and
  * how often it is. */
 #define FETCH_REPEAT_MS 1500
@@ -231,15 +233,15 @@
     assert_int_equal(at_end - at_limit, 0);
 }
 
-/* Returns the time after which no request may reach a server whose entry was
- * removed at removed_ms. It moves on while connections still go silent. */
+/* Returns the end of a time limit that began at start_ms. It moves on while
+ * connections still go silent. */
 static int64_t
-get_drain_end_ms(TestRelay *relay, int64_t removed_ms)
+get_limit_ms(TestRelay *relay, int64_t start_ms, int64_t limit_ms)
 {
     int64_t silenced_ms = TestRelay_GetSilencedMs(relay);
 
-    return removed_ms + DRAIN_MS > silenced_ms + CONTACT_MS
-               ? removed_ms + DRAIN_MS
+    return start_ms + limit_ms > silenced_ms + CONTACT_MS
+               ? start_ms + limit_ms
                : silenced_ms + CONTACT_MS;
 }
 
@@ -261,7 +263,8 @@
     TestRelay_SilenceAtText(relays[0], LIST_CALL, SILENCES);
     TestSite_SendControl(&site, "/test/server?id=i-0-0&mode=remove", "");
     removed_ms = TestClock_GetWallMs();
-    while (TestClock_GetWallMs() <= get_drain_end_ms(relays[0], removed_ms)) {
+    while (TestClock_GetWallMs() <=
+           get_limit_ms(relays[0], removed_ms, DRAIN_MS)) {
         send_requests(&site, 10);
     }
     at_limit = count_received(&site, "i-0-0");
@@ -277,6 +280,37 @@
     assert_int_equal(at_end - at_limit, 0);
 }
 
+/* Guards against routes that come into force late because the connections go
+ * silent several times, each time as the routes are read or watched. */
+static void
+test_routes_despite_series_of_silences(void **state)
+{
+    TestRelay *relays[GATEWAYS_MAX] = {NULL};
+    TestSite site;
+    int64_t written_ms;
+    int status = 0;
+
+    (void)state;
+    start_site(&site, 1, relays);
+    TestRelay_SilenceAtText(relays[0], ROUTES_CALL, SILENCES);
+    TestRelay_SilenceConnections(relays[0]);
+    TestSite_SendControl(&site, "/test/routes?mode=extra", "version");
+    written_ms = TestClock_GetWallMs();
+    while (status != 200 &&
+           TestClock_GetWallMs() <=
+               get_limit_ms(relays[0], written_ms, APPLY_MS)) {
+        TestClock_SleepMs(50);
+        status =
+            TestSite_SendRequest(&site, 0, "GET", "/extra/x", "probe", "", "")
+                .status;
+    }
+    print_message("status %d %lld ms after the last silence\n", status,
+                  (long long)(TestClock_GetWallMs() -
+                              TestRelay_GetSilencedMs(relays[0])));
+    stop_site(&site, relays);
+    assert_int_equal(status, 200);
+}
+
 /* Opens a listener on a port of the loopback address that never answers. */
 static int
 open_silent_listener(uint16_t *port)
@@ -369,6 +403,7 @@
         cmocka_unit_test(test_removal_despite_silent_links),
         cmocka_unit_test(test_removal_despite_series_of_silences),
         cmocka_unit_test(test_routes_despite_silent_links),
+        cmocka_unit_test(test_routes_despite_series_of_silences),
         cmocka_unit_test(test_routes_after_first_watcher_died),
         cmocka_unit_test(test_routes_after_outage_and_lost_watchers),
     };
