Read numbers of the routes in every form that JSON has for them

Cause: only weights were read as numbers of any form. Counts, limits, times, priorities and the version were read with the JSON library's integer type, which a number with a fraction or an exponent does not have: 20.0 or 2e1 as version, or 3e0 as priority of a tenant, had the document refused; a timeout of 8e3 or 1500.5 ms was taken for an absent one, as were maxAttempts 2.0 (1), maxBodyBytes 262144.0 and the like. Change: they are read as numbers. Of a fraction of a count the whole part is used, at least 1 for what is above 0, since 0 means no limit. Only a version has to be whole; the error says so.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -20,6 +20,7 @@
 #include "platform-store.h"
 #include "platform-table.h"
 #include "state-gateway-settings.h"
+#include "state-tenants.h"
 
 #define ROUNDS 4000
 
@@ -281,6 +282,153 @@
     assert_true(table->routes[0].targets[1].weight == 0.3);
 }
 
+/* A number of the routes: the text before it, and its value. */
+typedef struct TableNumber {
+    const char *text;
+    uint32_t value;
+} TableNumber;
+
+/* The document of the routes, cut at each of its numbers. */
+static const TableNumber table_numbers[] = {
+    {"{\"version\":", 20},
+    {",\"limits\":{\"maxHeaderBytes\":", 16384},
+    {",\"maxBodyBytes\":", 262144},
+    {",\"headerTimeoutMs\":", 3000},
+    {",\"idleTimeoutMs\":", 15000},
+    {"},\"services\":[{\"name\":\"s1\",\"connectionLimit\":", 40},
+    {",\"coldPerS\":", 30},
+    {",\"coldStartS\":", 10},
+    {"}],\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"],\"priority\":", 3},
+    {",\"ratePerS\":", 250},
+    {",\"burst\":", 50},
+    {"}],\"routes\":[{\"name\":\"w\",\"host\":\"h\",\"prefix\":\"/w/\","
+     "\"routeKind\":\"safe\",\"timeoutMs\":",
+     800},
+    {",\"targetLatencyMs\":", 80},
+    {",\"priority\":", 2},
+    {",\"maxAttempts\":", 4},
+    {",\"resultLimit\":", 5},
+    {",\"minShardRatio\":", 1},
+    {",\"trafficSplit\":[{\"service\":\"s1\",\"weight\":", 7},
+    {"},{\"service\":\"s2\",\"weight\":", 3},
+};
+
+#define TABLE_NUMBERS (sizeof(table_numbers) / sizeof(table_numbers[0]))
+
+/* Decodes the routes with one of their numbers replaced by a text. Returns
+ * NULL if they are refused. */
+static HrForwardTable *
+decode_with_number(const void *parent, size_t index, const char *number)
+{
+    char text[2048] = "";
+    size_t i;
+
+    for (i = 0; i < TABLE_NUMBERS; i++) {
+        char plain[16];
+
+        snprintf(plain, sizeof(plain), "%u", table_numbers[i].value);
+        strlcat(text, table_numbers[i].text, sizeof(text));
+        strlcat(text, i == index ? number : plain, sizeof(text));
+    }
+    strlcat(text, "}]}]}", sizeof(text));
+    return HrPlatformTable_Decode(parent, text, strlen(text), NULL);
+}
+
+/* Stores all numbers of a table in the order of table_numbers. */
+static void
+list_numbers(const HrForwardTable *table, double *numbers)
+{
+    const HrForwardRoute *route = &table->routes[0];
+    const HrTenant *tenant = HrTenants_Get(table->tenants, 0);
+    const double listed[TABLE_NUMBERS] = {(double)table->version,
+                                          table->limits.max_header_bytes,
+                                          table->limits.max_body_bytes,
+                                          table->limits.header_timeout_ms,
+                                          table->limits.idle_timeout_ms,
+                                          table->services[0].connection_limit,
+                                          table->services[0].cold_per_s,
+                                          table->services[0].cold_start_s,
+                                          tenant->priority,
+                                          tenant->rate_per_s,
+                                          tenant->burst,
+                                          route->timeout_ms,
+                                          route->target_ms,
+                                          route->priority,
+                                          route->max_attempts,
+                                          route->result_limit,
+                                          route->min_shard_ratio,
+                                          route->targets[0].weight,
+                                          route->targets[1].weight};
+
+    memcpy(numbers, listed, sizeof(listed));
+}
+
+/* Guards against a version of the routes that is refused, or whose number is
+ * taken for an absent one, because of the form in which JSON states it: with a
+ * fraction of zeros or an exponent. */
+static void
+test_numbers_in_every_form(void **state)
+{
+    static const char *const forms[] = {"%u",        "%u.0",   "%u.000e0",
+                                        "%ue0",      "%uE+0",  "%u0e-1",
+                                        "%u000E-03", "%u.0E00"};
+    size_t index, form, i;
+
+    for (index = 0; index < TABLE_NUMBERS; index++) {
+        for (form = 0; form < sizeof(forms) / sizeof(forms[0]); form++) {
+            char number[32];
+            double numbers[TABLE_NUMBERS];
+            HrForwardTable *table;
+
+            snprintf(number, sizeof(number), forms[form],
+                     table_numbers[index].value);
+            table = decode_with_number(*state, index, number);
+            if (table == NULL) {
+                fail_msg("refused: %s%s", table_numbers[index].text, number);
+            }
+            list_numbers(table, numbers);
+            for (i = 0; i < TABLE_NUMBERS; i++) {
+                if (numbers[i] != table_numbers[i].value) {
+                    fail_msg("%s%s is read as %g", table_numbers[i].text,
+                             i == index ? number : "", numbers[i]);
+                }
+            }
+        }
+    }
+}
+
+/* Guards against a fraction that is taken for an absent number, or that makes
+ * the version of the routes refused, and against one below 1 that becomes 0,
+ * which means that there is no limit. Only a version has to be whole. */
+static void
+test_numbers_with_fractions(void **state)
+{
+    size_t index, i;
+
+    for (index = 0; index < TABLE_NUMBERS; index++) {
+        double numbers[TABLE_NUMBERS];
+        HrForwardTable *table;
+        char number[32];
+
+        snprintf(number, sizeof(number), "%u.5", table_numbers[index].value);
+        table = decode_with_number(*state, index, number);
+        assert_int_equal(table == NULL, index == 0);
+        if (table == NULL) {
+            continue;
+        }
+        list_numbers(table, numbers);
+        for (i = 0; i < TABLE_NUMBERS; i++) {
+            assert_true(numbers[i] >= table_numbers[i].value);
+            assert_true(numbers[i] <=
+                        table_numbers[i].value + (i == index ? 0.5 : 0));
+        }
+        table = decode_with_number(*state, index, "0.5");
+        assert_non_null(table);
+        list_numbers(table, numbers);
+        assert_true(numbers[index] > 0 && numbers[index] <= 1);
+    }
+}
+
 /* Guards against a process that ends, or uses memory without bound, because of
  * one odd entry: nested deeply, or with a name of a megabyte, a NUL or invalid
  * UTF-8. */
@@ -1006,6 +1154,8 @@
         cmocka_unit_test(test_entries_with_odd_fields),
         cmocka_unit_test(test_entries_at_their_limits),
         cmocka_unit_test(test_fractional_weights),
+        cmocka_unit_test(test_numbers_in_every_form),
+        cmocka_unit_test(test_numbers_with_fractions),
         cmocka_unit_test(test_entries_of_another_kind),
         cmocka_unit_test(test_keys_in_calls_are_encoded),
         cmocka_unit_test(test_damaged_server_entry),
