--- a/src/state-forward.c
+++ b/src/state-forward.c
@@ -149,5 +149,8 @@
     double needed =
         ceil(route->min_shard_ratio * route->target_count - RATIO_EPSILON);
 
+    if (needed > route->target_count) {
+        return route->target_count;
+    }
     return needed < 1 ? 1 : (uint32_t)needed;
 }
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -429,6 +429,32 @@
     }
 }
 
+/* Guards against a version of the routes that is refused because a number is
+ * larger than an integer of the JSON reader. */
+static void
+test_numbers_of_every_size(void **state)
+{
+    static const char *const large[] = {"4294967296", "1e12",
+                                        "9223372036854775807",
+                                        "99999999999999999999", "1e300"};
+    size_t index, i;
+
+    for (index = 1; index < TABLE_NUMBERS; index++) {
+        for (i = 0; i < sizeof(large) / sizeof(large[0]); i++) {
+            double numbers[TABLE_NUMBERS];
+            HrForwardTable *table =
+                decode_with_number(*state, index, large[i]);
+
+            if (table == NULL) {
+                fail_msg("refused: %s%s", table_numbers[index].text, large[i]);
+            }
+            list_numbers(table, numbers);
+            assert_int_equal(numbers[0], table_numbers[0].value);
+            assert_true(numbers[index] >= 1);
+        }
+    }
+}
+
 /* Guards against a process that ends, or uses memory without bound, because of
  * one odd entry: nested deeply, or with a name of a megabyte, a NUL or invalid
  * UTF-8. */
@@ -1156,6 +1182,7 @@
         cmocka_unit_test(test_fractional_weights),
         cmocka_unit_test(test_numbers_in_every_form),
         cmocka_unit_test(test_numbers_with_fractions),
+        cmocka_unit_test(test_numbers_of_every_size),
         cmocka_unit_test(test_entries_of_another_kind),
         cmocka_unit_test(test_keys_in_calls_are_encoded),
         cmocka_unit_test(test_damaged_server_entry),
