Keep the proportions of very large and very small weights

Callers see: parts of a split with other shares than the weights state. Cause: weights were cut to 1e12, so that 7e12 and 3e12 got the same share.

--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -8,6 +8,7 @@
 
 #include <bsd/string.h>
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -455,6 +456,40 @@
     }
 }
 
+/* Guards against parts of a split whose shares change because their weights
+ * are very large or very small. */
+static void
+test_weights_of_every_size(void **state)
+{
+    static const char *const weights[][2] = {
+        {"7000000000000", "3000000000000"},
+        {"70000000000000000000", "30000000000000000000"},
+        {"7e300", "3e300"},
+        {"7e-13", "3e-13"},
+        {"7e-300", "3e-300"},
+    };
+    size_t i;
+
+    for (i = 0; i < sizeof(weights) / sizeof(weights[0]); i++) {
+        char text[512];
+        HrForwardTable *table;
+        double first, second;
+
+        snprintf(text, sizeof(text),
+                 "{\"version\":7,\"services\":[],\"routes\":[{\"name\":\"x\","
+                 "\"host\":\"h\",\"prefix\":\"/x/\",\"routeKind\":\"safe\","
+                 "\"trafficSplit\":[{\"service\":\"a\",\"weight\":%s},"
+                 "{\"service\":\"b\",\"weight\":%s}]}]}",
+                 weights[i][0], weights[i][1]);
+        table = HrPlatformTable_Decode(*state, text, strlen(text), NULL);
+        assert_non_null(table);
+        first = table->routes[0].targets[0].weight;
+        second = table->routes[0].targets[1].weight;
+        assert_true(first + second > 0 && first + second < 1e15);
+        assert_true(fabs(first / (first + second) - 0.7) < 1e-9);
+    }
+}
+
 /* Guards against a process that ends, or uses memory without bound, because of
  * one odd entry: nested deeply, or with a name of a megabyte, a NUL or invalid
  * UTF-8. */
@@ -1183,6 +1218,7 @@
         cmocka_unit_test(test_numbers_in_every_form),
         cmocka_unit_test(test_numbers_with_fractions),
         cmocka_unit_test(test_numbers_of_every_size),
+        cmocka_unit_test(test_weights_of_every_size),
         cmocka_unit_test(test_entries_of_another_kind),
         cmocka_unit_test(test_keys_in_calls_are_encoded),
         cmocka_unit_test(test_damaged_server_entry),
