--- a/src/coord-limit.c
+++ b/src/coord-limit.c
@@ -57,12 +57,17 @@
     return rounded > number ? nextafterf(rounded, 0) : rounded;
 }
 
-/* The bound is rate * (window + depth + lifetime of a credit). */
+/* The bound is rate * (window + depth + lifetime of a credit). For a greater
+ * depth than a rule may have, the rate is raised as far as the bound permits.
+ */
 HrLimitRule
 HrLimitRule_FromBound(double rate_per_s, double bound, double window_s)
 {
     double span_s = window_s + (double)HR_LIMIT_CREDIT_NS / HR_NS_PER_S;
-    double spare = bound - rate_per_s * span_s;
+    double spare;
+
+    rate_per_s = fmin(rate_per_s, HR_LIMIT_RATE_MAX_PER_S);
+    spare = bound - rate_per_s * span_s;
 
     if (bound < MIN_BUCKET || rate_per_s <= 0) {
         return (HrLimitRule){0};
@@ -74,6 +79,12 @@
             return (HrLimitRule){0};
         }
     }
+    if (spare / rate_per_s > HR_LIMIT_DEPTH_MAX_S) {
+        rate_per_s = fmin(bound / (span_s + HR_LIMIT_DEPTH_MAX_S),
+                          HR_LIMIT_RATE_MAX_PER_S);
+        return (HrLimitRule){round_down(rate_per_s), HR_LIMIT_DEPTH_MAX_S, 0,
+                             false};
+    }
     return (HrLimitRule){round_down(rate_per_s),
                          round_down(spare / rate_per_s), 0, false};
 }
@@ -85,11 +96,12 @@
     HrLimitRule rule = HrLimitRule_FromBound(rate_per_s, bound, window_s);
     double depth_s, span_s, total_per_s, early_per_s;
 
-    if (rule.rate_per_s < rate_per_s || rule.rate_per_s <= 0) {
+    if (rule.rate_per_s < rate_per_s || rule.rate_per_s <= 0 ||
+        rule.depth_s >= HR_LIMIT_DEPTH_MAX_S) {
         return rule;
     }
     burst = burst > MIN_BUCKET ? burst : MIN_BUCKET;
-    depth_s = round_down(burst / rate_per_s);
+    depth_s = round_down(fmin(burst / rate_per_s, HR_LIMIT_DEPTH_MAX_S));
     span_s = window_s + (double)HR_LIMIT_CREDIT_NS / HR_NS_PER_S + depth_s;
     total_per_s = round_down(bound / span_s);
     early_per_s = round_down(
--- a/src/coord-limit.h
+++ b/src/coord-limit.h
@@ -46,6 +46,10 @@
     HR_LIMIT_SERVER,     /* requests to a cold server */
 } HrLimitKind;
 
+/* Largest rate and depth of a rule. */
+#define HR_LIMIT_RATE_MAX_PER_S 1e12
+#define HR_LIMIT_DEPTH_MAX_S 1e9
+
 /* The limit of a key. Tokens arise at the rate times the sum of the rights
  * that count, at most max_share; up to the number that arise within the depth
  * are kept. With a max_share below 1 the rate of a key stays the same while
--- a/src/proto-limit.c
+++ b/src/proto-limit.c
@@ -13,8 +13,6 @@
 /* Largest values of fields; no deployment reaches them. */
 #define GATEWAYS_MAX 1000000
 #define CREDITS_MAX 1000000
-#define RATE_MAX 1e12
-#define DEPTH_MAX 1e9
 
 bool
 HrLimitMessage_IsLimit(const void *data, size_t length)
@@ -204,8 +202,8 @@
                            packed->max_share, packed->with_early != 0}};
     return packed->number != 0 && packed->need <= CREDITS_MAX &&
            packed->extra <= CREDITS_MAX && packed->denied <= CREDITS_MAX &&
-           is_within(packed->rate_per_s, RATE_MAX) &&
-           is_within(packed->depth_s, DEPTH_MAX) &&
+           is_within(packed->rate_per_s, HR_LIMIT_RATE_MAX_PER_S) &&
+           is_within(packed->depth_s, HR_LIMIT_DEPTH_MAX_S) &&
            is_within(packed->max_share, 1);
 }
 
--- a/tests/test-limit-codec.c
+++ b/tests/test-limit-codec.c
@@ -259,6 +259,46 @@
     talloc_free(limit);
 }
 
+/* Guards against a tenant whose requests all are rejected because its rate or
+ * burst is so large or so small that the other gateways take the messages
+ * about it for malformed. */
+static void
+test_rules_of_every_size_are_sent(void **state)
+{
+    static const double rates[] = {1e-300, 1e-9, 0.001, 1, 1e9, 1e13, 1e300};
+    static const double bursts[] = {0, 50, 1e12, 1e300};
+    size_t i, j;
+
+    (void)state;
+    for (i = 0; i < sizeof(rates) / sizeof(rates[0]); i++) {
+        for (j = 0; j < sizeof(bursts) / sizeof(bursts[0]); j++) {
+            void *parent = talloc_new(NULL);
+            double bound = (rates[i] * 5 + bursts[j]) * 1.1 + 20;
+            HrLimitMessage message = {.sender = 1,
+                                      .receiver = 2,
+                                      .take_count = 1},
+                           decoded;
+            HrLimitTake *take = &message.takes[0];
+            HrBytes bytes;
+
+            *take = (HrLimitTake){
+                1, 1, 1,
+                0, 0, HrLimitRule_FromBucket(rates[i], bursts[j], bound, 5)};
+            bytes = encode(parent, &message);
+            if (HrLimitMessage_Decode(&decoded, bytes.data,
+                                      bytes.length_bytes) != HR_OK) {
+                fail_msg("rate %g, burst %g: %g a second, depth %g s",
+                         rates[i], bursts[j], take->rule.rate_per_s,
+                         take->rule.depth_s);
+            }
+            assert_true(take->rule.rate_per_s * take->rule.depth_s >= 1);
+            assert_true(take->rule.rate_per_s * (take->rule.depth_s + 5) <=
+                        bound);
+            talloc_free(parent);
+        }
+    }
+}
+
 int
 main(void)
 {
@@ -268,6 +308,7 @@
         cmocka_unit_test(test_told_apart_from_a_hello),
         cmocka_unit_test(test_invalid_fields_are_refused),
         cmocka_unit_test(test_mutations),
+        cmocka_unit_test(test_rules_of_every_size_are_sent),
     };
 
     return cmocka_run_group_tests(tests, NULL, NULL);
