Let the soak silence connections to the store at their next calls

Cause: its silences struck at random moments only, which are seldom those of a call on a new connection. Change: after a silence of a link to the store, up to four of the next calls of one kind (list, routes, watches, writes and renewals) silence the connections again. The draws come from a generator of their own, so that seeds keep their other faults.

--- a/tests/test-process-soak.c
+++ b/tests/test-process-soak.c
@@ -72,6 +72,7 @@
 
 typedef struct Soak {
     HrRng rng;
+    HrRng silence_rng; /* of its own, so that seeds keep their faults */
     TestSite site;
     TestRelay *store_relays[GATEWAYS];
     TestRelay *server_relays[RELAYED_SERVERS];
@@ -262,6 +263,19 @@
     }
 }
 
+/* Has the connections of a gateway to the store go silent again at one or more
+ * of its next calls of one kind. */
+static void
+silence_calls(TestRelay *relay)
+{
+    static const char *const calls[] = {"?prefix=servers", "?prefix=op/",
+                                        "/api/kv-watch", "POST /api/"};
+
+    TestRelay_SilenceAtText(relay,
+                            calls[HrRng_DrawBelow(&soak.silence_rng, 4)],
+                            (uint32_t)HrRng_DrawBelow(&soak.silence_rng, 5));
+}
+
 /* Injects one of four random faults into a link: delay, one-way delay, reset
  * or permanent silence of its connections. */
 static void
@@ -282,6 +296,9 @@
         break;
     default:
         TestRelay_SilenceConnections(relay);
+        if (kind == FAULT_STORE_LINK) {
+            silence_calls(relay);
+        }
         break;
     }
 }
@@ -365,6 +382,7 @@
 
     memset(&soak, 0, sizeof(soak));
     soak.rng = HrRng_FromSeed(seed);
+    soak.silence_rng = HrRng_FromSeed(~seed);
     TestSite_StartPlatform(&soak.site, GATEWAYS, SERVICES, REPLICAS);
     for (i = 0; i < RELAYED_SERVERS; i++) {
         char mode[32];
@@ -418,6 +436,7 @@
     end_due_faults(true);
     TestSite_SendControl(&soak.site, "/test/store?mode=ok", "");
     for (i = 0; i < GATEWAYS; i++) {
+        TestRelay_SilenceAtText(soak.store_relays[i], "", 0);
         TestSite_WaitForGateway(&soak.site, i);
     }
     TestSite_SendControl(&soak.site, "/test/routes?mode=extra", "version");
