Let a call to the store go on after a pause of the process

Cause: the time limit of a call counted from its start. A process that was paused while the connection was silent failed the call when it resumed, instead of repeating it, and then seemed not to reach the store.

--- a/src/daemon-gateway-store.c
+++ b/src/daemon-gateway-store.c
@@ -22,6 +22,7 @@
     bool repeats_failed_new; /* a failure on a new connection is repeated */
     bool busy;               /* a call is in progress: fn has to be called */
     int64_t repeat_ns;       /* period of the repetitions; 0: there are none */
+    int64_t timeout_ns;      /* from the first repetition */
     int64_t deadline_ns;     /* when the call fails */
     HrLoopTimer *timer;      /* repeats or ends a call */
     HrStoreAnswerFn *fn;
@@ -131,10 +132,16 @@
 
 /* Sends the call once more, on a new connection: the ones before have failed
  * or may be silent. Their requests stay in progress, because a slow store may
- * still answer them. Returns false if the call cannot be sent. */
+ * still answer them. The first repetition may be late, after a pause of this
+ * process, so the time limit counts from it. Returns false if the call cannot
+ * be sent. */
 static bool
 repeat_call(HrStoreChannel *channel)
 {
+    if (channel->attempt_count == 1) {
+        channel->deadline_ns =
+            HrLoop_NowNs(channel->gateway->loop) + channel->timeout_ns;
+    }
     HrStoreChannel_AvoidIdleConnections(channel);
     HrCounters_Add(&channel->gateway->counters, HR_COUNTER_config_store_calls,
                    1);
@@ -153,9 +160,10 @@
 handle_timeout(void *arg)
 {
     HrStoreChannel *channel = arg;
+    bool in_time = channel->attempt_count == 1 ||
+                   HrLoop_NowNs(channel->gateway->loop) < channel->deadline_ns;
 
-    if (HrLoop_NowNs(channel->gateway->loop) < channel->deadline_ns &&
-        may_repeat(channel) && repeat_call(channel)) {
+    if (in_time && may_repeat(channel) && repeat_call(channel)) {
         return;
     }
     HrStoreChannel_AvoidIdleConnections(channel);
@@ -256,8 +264,9 @@
     /* Writes are not repeated, because a silent connection may deliver them
      * late. */
     channel->repeat_ns = channel->call.is_repeatable ? timeouts->repeat_ns : 0;
-    channel->deadline_ns = HrLoop_NowNs(gateway->loop) + channel->repeat_ns +
-                           timeouts->timeout_ns;
+    channel->timeout_ns = timeouts->timeout_ns;
+    channel->deadline_ns =
+        HrLoop_NowNs(gateway->loop) + channel->repeat_ns + channel->timeout_ns;
     /* If a new connection fails, so does the store, and the call is not
      * repeated. A seed that is not ready repeats it once: after a loss of all
      * VMs during an outage the callers of all gateways wait for the first
--- a/tests/test-process-store-lease.c
+++ b/tests/test-process-store-lease.c
@@ -15,7 +15,7 @@
  * silent at it, and when it is due. */
 #define RENEWAL "POST /api/kv-keep"
 #define SILENCES 3
-#define RENEWAL_DUE_MS 30000
+#define RENEWAL_DUE_MS ((int64_t)30000)
 /* Connections that went silent count as a disruption for this time
  * (contactWindowMs). */
 #define CONTACT_MS 4000
--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -7,6 +7,8 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -47,6 +49,8 @@
 #define FETCHES 3
 /* Long enough for a failed attempt of each gateway to reach the store. */
 #define OUTAGE_MS 4000
+/* Longer than a call to the store may take. */
+#define PAUSE_MS 4000
 
 /* Starts a site whose gateways reach the store through relays, and waits until
  * the gateways have determined which of them watch the routes. */
@@ -311,6 +315,51 @@
     assert_int_equal(status, 200);
 }
 
+/* Returns how many calls to the store have failed at a gateway. */
+static int64_t
+count_failures(const TestSite *site, uint32_t index)
+{
+    static const char name[] = "\nhickory_config_store_failures ";
+    int fd = TestSocket_Connect(site->gateways[index].metrics_port);
+    TestReply reply;
+    const char *line;
+
+    TestSocket_WriteText(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    reply = TestSocket_ReadReply(fd);
+    close(fd);
+    line = strstr(reply.text, name);
+    assert_non_null(line);
+    return strtoll(line + strlen(name), NULL, 10);
+}
+
+/* Guards against a call that fails, so that its gateway seems not to reach the
+ * store, because the process is paused while the call's connection is silent:
+ * the time for its repetition was over. */
+static void
+test_call_goes_on_after_pause(void **state)
+{
+    TestRelay *relays[GATEWAYS_MAX] = {NULL};
+    TestSite site;
+    int64_t before, after, end_ms;
+
+    (void)state;
+    start_site(&site, 1, relays);
+    before = count_failures(&site, 0);
+    end_ms = TestClock_GetWallMs() + APPLY_MS;
+    TestRelay_SilenceAtText(relays[0], LIST_CALL, 1);
+    while (TestRelay_GetSilencedMs(relays[0]) == 0 &&
+           TestClock_GetWallMs() < end_ms) {
+        TestClock_SleepMs(10);
+    }
+    kill(site.gateways[0].pid, SIGSTOP);
+    TestClock_SleepMs(PAUSE_MS);
+    kill(site.gateways[0].pid, SIGCONT);
+    TestClock_SleepMs(SETTLE_MS);
+    after = count_failures(&site, 0);
+    stop_site(&site, relays);
+    assert_int_equal(after, before);
+}
+
 /* Opens a listener on a port of the loopback address that never answers. */
 static int
 open_silent_listener(uint16_t *port)
@@ -402,6 +451,7 @@
         cmocka_unit_test(test_fetch_repeated_on_new_connection),
         cmocka_unit_test(test_removal_despite_silent_links),
         cmocka_unit_test(test_removal_despite_series_of_silences),
+        cmocka_unit_test(test_call_goes_on_after_pause),
         cmocka_unit_test(test_routes_despite_silent_links),
         cmocka_unit_test(test_routes_despite_series_of_silences),
         cmocka_unit_test(test_routes_after_first_watcher_died),
