Share the reading of a metric among tests; tighten two of their checks

Cause: two test programs read metrics by the same lines. A test of silences would have passed without any; no test had a connection between gateways go silent within an answer. Change: TestSite_ReadMetric; a check that silences took place; the second connection of test_fetch_repeated_on_new_connection goes silent after the first byte of a body.

--- a/tests/common-site.c
+++ b/tests/common-site.c
@@ -363,3 +363,18 @@
     close(fd);
     return reply;
 }
+
+/* Reads a metric of a gateway. */
+int64_t
+TestSite_ReadMetric(const TestSite *site, uint32_t index, const char *name)
+{
+    int fd = TestSocket_Connect(site->gateways[index].metrics_port);
+    TestReply reply;
+    const char *line;
+
+    TestSocket_WriteText(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+    reply = TestSocket_ReadReply(fd);
+    close(fd);
+    line = strstr(reply.text, name);
+    return line != NULL ? strtoll(line + strlen(name), NULL, 10) : -1;
+}
--- a/tests/common-site.h
+++ b/tests/common-site.h
@@ -84,6 +84,11 @@
 /* Returns how often the request with an id ran on the servers. */
 int64_t TestSite_CountRuns(const TestSite *site, const char *id);
 
+/* Returns the value of a metric of a gateway, or -1 if it has none. name is
+ * that of its line, with the line end before it and the space after it. */
+int64_t TestSite_ReadMetric(const TestSite *site, uint32_t index,
+                            const char *name);
+
 /* Opens a connection to a port on the loopback address. Reads time out after
  * 20 s. */
 int TestSocket_Connect(uint16_t port);
--- a/tests/test-process-store-calls.c
+++ b/tests/test-process-store-calls.c
@@ -4,9 +4,6 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -20,21 +17,6 @@
 /* Starts and crashes of single gateways. */
 #define RESTARTS 8
 
-/* Returns the value of a metric of a gateway, or -1 if it has none. */
-static int64_t
-read_metric(const TestSite *site, uint32_t index, const char *name)
-{
-    int fd = TestSocket_Connect(site->gateways[index].metrics_port);
-    TestReply reply;
-    const char *line;
-
-    TestSocket_WriteText(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-    reply = TestSocket_ReadReply(fd);
-    close(fd);
-    line = strstr(reply.text, name);
-    return line != NULL ? strtoll(line + strlen(name), NULL, 10) : -1;
-}
-
 /* Asserts that every gateway counts all of them among those that share the
  * limits. */
 static void
@@ -44,7 +26,7 @@
 
     for (i = 0; i < GATEWAYS; i++) {
         assert_int_equal(
-            read_metric(site, i, "\nhickory_gateways_sharing_limits "),
+            TestSite_ReadMetric(site, i, "\nhickory_gateways_sharing_limits "),
             GATEWAYS);
     }
 }
@@ -67,7 +49,8 @@
         int64_t sharing;
 
         TestSite_WaitForGateway(site, i);
-        sharing = read_metric(site, i, "\nhickory_gateways_sharing_limits ");
+        sharing =
+            TestSite_ReadMetric(site, i, "\nhickory_gateways_sharing_limits ");
         least = sharing < least ? sharing : least;
     }
     TestClock_SleepMs(SETTLE_MS);
--- a/tests/test-process-store-link.c
+++ b/tests/test-process-store-link.c
@@ -7,8 +7,6 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -47,8 +45,11 @@
  * how often it is. */
 #define FETCH_REPEAT_MS 1500
 #define FETCHES 3
+#define BEGUN_ANSWER "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{"
 /* Long enough for a failed attempt of each gateway to reach the store. */
 #define OUTAGE_MS 4000
+/* Metric of the calls to the store that have failed. */
+#define FAILURES "\nhickory_config_store_failures "
 /* Longer than a call to the store may take. */
 #define PAUSE_MS 4000
 
@@ -258,7 +259,7 @@
 {
     TestRelay *relays[GATEWAYS_MAX] = {NULL};
     TestSite site;
-    int64_t before, at_limit, at_end, removed_ms;
+    int64_t before, at_limit, at_end, removed_ms, silenced_ms;
 
     (void)state;
     start_site(&site, 1, relays);
@@ -279,8 +280,10 @@
     at_end = count_received(&site, "i-0-0");
     print_message("requests before the removal %lld, after the limit %lld\n",
                   (long long)before, (long long)(at_end - at_limit));
+    silenced_ms = TestRelay_GetSilencedMs(relays[0]);
     stop_site(&site, relays);
     assert_true(before > 0);
+    assert_true(silenced_ms > 0);
     assert_int_equal(at_end - at_limit, 0);
 }
 
@@ -315,23 +318,6 @@
     assert_int_equal(status, 200);
 }
 
-/* Returns how many calls to the store have failed at a gateway. */
-static int64_t
-count_failures(const TestSite *site, uint32_t index)
-{
-    static const char name[] = "\nhickory_config_store_failures ";
-    int fd = TestSocket_Connect(site->gateways[index].metrics_port);
-    TestReply reply;
-    const char *line;
-
-    TestSocket_WriteText(fd, "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
-    reply = TestSocket_ReadReply(fd);
-    close(fd);
-    line = strstr(reply.text, name);
-    assert_non_null(line);
-    return strtoll(line + strlen(name), NULL, 10);
-}
-
 /* Guards against a call that fails, so that its gateway seems not to reach the
  * store, because the process is paused while the call's connection is silent:
  * the time for its repetition was over. */
@@ -344,7 +330,7 @@
 
     (void)state;
     start_site(&site, 1, relays);
-    before = count_failures(&site, 0);
+    before = TestSite_ReadMetric(&site, 0, FAILURES);
     end_ms = TestClock_GetWallMs() + APPLY_MS;
     TestRelay_SilenceAtText(relays[0], LIST_CALL, 1);
     while (TestRelay_GetSilencedMs(relays[0]) == 0 &&
@@ -355,8 +341,9 @@
     TestClock_SleepMs(PAUSE_MS);
     kill(site.gateways[0].pid, SIGCONT);
     TestClock_SleepMs(SETTLE_MS);
-    after = count_failures(&site, 0);
+    after = TestSite_ReadMetric(&site, 0, FAILURES);
     stop_site(&site, relays);
+    assert_true(before >= 0);
     assert_int_equal(after, before);
 }
 
@@ -414,7 +401,8 @@
 
 /* Guards against a gateway that waits for a list of servers on a connection
  * that has gone silent while new ones work, and meanwhile fetches none; also
- * if the connection on which it asked again goes silent too. */
+ * if the connection on which it asked again goes silent too, within an answer.
+ */
 static void
 test_fetch_repeated_on_new_connection(void **state)
 {
@@ -433,6 +421,9 @@
         print_message("asked %u times, the last one after %lld ms: %s\n",
                       i + 1, (long long)(TestClock_GetWallMs() - asked_ms),
                       fds[i] >= 0 ? "yes" : "no");
+        if (i == 1 && fds[i] >= 0) {
+            TestSocket_WriteText(fds[i], BEGUN_ANSWER);
+        }
     }
     for (i = 0; i < FETCHES; i++) {
         close(fds[i]);
