review: case 12 with a body of 2 MB

Cause: the case had a limit of 4 MB and a body of 3 MB, more than it needs. Change: maxBodyBytes is 2 MiB and the body 2,000,000 bytes.

--- a/review/stand-ins-3/case-12.c
+++ b/review/stand-ins-3/case-12.c
@@ -20,8 +20,8 @@
 #define SLOTS 4
 #define DEADLINE_MS 1000
 
-#define BODY_LIMIT (4 * 1024 * 1024) /* maxBodyBytes */
-#define LARGE_BODY 3000000
+#define BODY_LIMIT (2 * 1024 * 1024) /* maxBodyBytes */
+#define LARGE_BODY 2000000
 #define SMALL_BODY 1000
 
 /* A process of two machines has to end three times (RULES.md, Fault). */
