--- a/src/daemon-gateway-request.c
+++ b/src/daemon-gateway-request.c
@@ -79,10 +79,8 @@
  * the statuses that would promise it to the caller are not passed on without
  * that statement. */
 static HrAttemptOutcome
-classify_result(const HrH1Result *result)
+classify_result(const HrH1Result *result, const HrPlatformAnswer *answer)
 {
-    HrPlatformAnswer answer;
-
     switch (result->outcome) {
     case HR_H1_NOT_SENT:
         return HR_ATTEMPT_OUTCOME_NOT_SENT;
@@ -93,19 +91,18 @@
     case HR_H1_ANSWERED:
         break;
     }
-    HrPlatformAnswer_ReadHeaders(&answer, result->headers);
     if (result->status == 421) {
         return HR_ATTEMPT_OUTCOME_MISDIRECTED;
     }
-    if (answer.not_executed) {
+    if (answer->not_executed) {
         return HR_ATTEMPT_OUTCOME_DECLINED;
     }
     if (is_promise(result->status)) {
         return HR_ATTEMPT_OUTCOME_MALFORMED;
     }
     if (result->status / 100 == 2) {
-        return answer.digest != NULL ? HR_ATTEMPT_OUTCOME_OK
-                                     : HR_ATTEMPT_OUTCOME_MALFORMED;
+        return answer->digest != NULL ? HR_ATTEMPT_OUTCOME_OK
+                                      : HR_ATTEMPT_OUTCOME_MALFORMED;
     }
     return result->status / 100 == 4 ? HR_ATTEMPT_OUTCOME_CLIENT_ERROR
                                      : HR_ATTEMPT_OUTCOME_SERVER_ERROR;
@@ -114,26 +111,18 @@
 /* Returns what a server states about itself in an answer. A pause is requested
  * only by an answer that turns the request away. */
 static HrServerSignal
-read_signal(const HrH1Result *result, HrCounters *counters)
+read_signal(const HrH1Result *result, const HrPlatformAnswer *answer)
 {
-    HrPlatformAnswer answer;
-
-    if (result->outcome != HR_H1_ANSWERED) {
-        return (HrServerSignal){0};
-    }
-    HrPlatformAnswer_ReadHeaders(&answer, result->headers);
-    HrCounters_Add(counters, HR_COUNTER_answers_bad_fields,
-                   answer.malformed_count);
     return (HrServerSignal){
-        .leaving = answer.leaving,
+        .leaving = answer->leaving,
         .pause_ns = result->status == 503 || result->status == 429
-                        ? answer.retry_after_ns
+                        ? answer->retry_after_ns
                         : 0,
-        .states_cold = answer.states_cold,
-        .cold_ns = answer.cold_ns,
-        .states_load = answer.states_load,
-        .load = {answer.load_running, answer.load_waiting, answer.load_slots,
-                 answer.load_pace_percent}};
+        .states_cold = answer->states_cold,
+        .cold_ns = answer->cold_ns,
+        .states_load = answer->states_load,
+        .load = {answer->load_running, answer->load_waiting,
+                 answer->load_slots, answer->load_pace_percent}};
 }
 
 /* Returns true if the unit has no usable answer yet and the request has not
@@ -146,16 +135,16 @@
 }
 
 /* Merges the answer of one unit (a part) into the answer to the caller.
- * Returns false when out of memory. */
+ * Returns false if another part has the same digest, or when out of memory. */
 static bool
-merge_part(HrGatewayRequest *request, const HrH1Result *result)
+merge_part(HrGatewayRequest *request, const HrH1Result *result,
+           const HrPlatformAnswer *answer)
 {
     size_t head_bytes = HrBuffer_GetLength(&request->answer_head);
-    HrPlatformAnswer answer;
 
-    HrPlatformAnswer_ReadHeaders(&answer, result->headers);
-    if (HrPlatform_WritePartDigest(&request->answer_head, answer.digest) !=
-        HR_OK) {
+    if (HrPlatform_HasPartDigest(&request->answer_head, answer->digest) ||
+        HrPlatform_WritePartDigest(&request->answer_head, answer->digest) !=
+            HR_OK) {
         return false;
     }
     if (HrTopRecords_AddPart(&request->records, result->body.data,
@@ -173,26 +162,31 @@
 {
     HrGatewayAttempt *attempt = arg;
     HrGatewayRequest *request = attempt->request;
+    HrCounters *counters = &request->gateway->counters;
+    HrPlatformAnswer answer = {0};
     HrForwardEvent event = {
         .kind = HR_FORWARD_EVENT_ATTEMPT_ENDED,
         .now_ns = HrLoop_NowNs(request->gateway->loop),
-        .u.reply = {attempt->unit, attempt->index,
-                    HR_ATTEMPT_OUTCOME_MALFORMED,
-                    read_signal(result, &request->gateway->counters)}};
+        .u.reply = {.unit = attempt->unit, .attempt = attempt->index}};
 
     attempt->conn = NULL;
     attempt->ended_ns = event.now_ns;
-    event.u.reply.reply = classify_result(result);
-    attempt->outcome = event.u.reply.reply;
-    HrGatewayLog_CountOutcome(&request->gateway->counters, attempt->outcome);
+    if (result->outcome == HR_H1_ANSWERED) {
+        HrPlatformAnswer_ReadHeaders(&answer, result->headers);
+    }
+    HrCounters_Add(counters, HR_COUNTER_answers_bad_fields,
+                   answer.malformed_count);
+    event.u.reply.signal = read_signal(result, &answer);
+    event.u.reply.reply = classify_result(result, &answer);
     if (event.u.reply.reply == HR_ATTEMPT_OUTCOME_OK &&
         request->route->kind == HR_FORWARD_SHARDS &&
         is_part_needed(request, attempt->unit) &&
-        !merge_part(request, result)) {
+        !merge_part(request, result, &answer)) {
         event.u.reply.reply = HR_ATTEMPT_OUTCOME_MALFORMED;
     }
-    HrGatewayLog_CountSignal(&request->gateway->counters,
-                             &event.u.reply.signal);
+    attempt->outcome = event.u.reply.reply;
+    HrGatewayLog_CountOutcome(counters, attempt->outcome);
+    HrGatewayLog_CountSignal(counters, &event.u.reply.signal);
     request->result = result;
     HrForward_HandleEvent(request->forward, &event);
     run_actions(request);
--- a/src/proto-headers.c
+++ b/src/proto-headers.c
@@ -176,6 +176,25 @@
     return NULL;
 }
 
+/* Returns the value of the first line with the given name, or NULL, and counts
+ * the lines with that name. */
+const char *
+HrHeaders_FindFirst(const HrHeaders *headers, const char *name,
+                    uint32_t *count)
+{
+    const char *first = NULL;
+    uint32_t i;
+
+    *count = 0;
+    for (i = 0; i < headers->count; i++) {
+        if (strcasecmp(HrHeaders_GetName(headers, i), name) == 0) {
+            first = first != NULL ? first : HrHeaders_GetValue(headers, i);
+            ++*count;
+        }
+    }
+    return first;
+}
+
 /* Returns true if a comma-separated list includes a token, ignoring case. */
 static bool
 has_token(const char *list, const char *token)
--- a/src/proto-headers.h
+++ b/src/proto-headers.h
@@ -54,6 +54,10 @@
  * NULL. */
 const char *HrHeaders_FindValue(const HrHeaders *headers, const char *name);
 
+/* Does the same, and sets *count to the number of lines with that name. */
+const char *HrHeaders_FindFirst(const HrHeaders *headers, const char *name,
+                                uint32_t *count);
+
 /* Finds the lines that must not be forwarded, in a time that is nearly linear
  * in the length of the message. Called when all lines are complete. Returns 0
  * or HR_ERR_NO_MEMORY. */
--- a/tests/fake-site.c
+++ b/tests/fake-site.c
@@ -161,6 +161,13 @@
         server->answer_status = (int)strtol(mode + 7, NULL, 10);
         return 200;
     }
+    if (strncmp(mode, "lines-", 6) == 0) {
+        server->mode = SERVER_LINES;
+        server->answer_status = (int)strtol(mode + 6, NULL, 10);
+        snprintf(server->answer_lines, sizeof(server->answer_lines), "%.*s",
+                 (int)call->body.length_bytes, (const char *)call->body.data);
+        return 200;
+    }
     if (strcmp(mode, "astray") == 0) {
         write_astray_entry(server);
         return 200;
@@ -459,6 +466,7 @@
     case SERVER_BUSY:
     case SERVER_STATUS:
     case SERVER_LARGE:
+    case SERVER_LINES:
     case SERVER_PAUSED:
     case SERVER_QUEUE:
         break;
@@ -466,6 +474,27 @@
     return "";
 }
 
+/* Writes the header lines of a server, with the id of the request in place of
+ * each "$". */
+static void
+write_answer_lines(const Server *server, const char *id, char *buf,
+                   size_t buf_bytes)
+{
+    const char *at = server->answer_lines;
+    size_t used = 0;
+
+    buf[0] = '\0';
+    for (; *at != '\0' && used + 1 < buf_bytes; at++) {
+        if (*at != '$') {
+            buf[used++] = *at;
+            buf[used] = '\0';
+            continue;
+        }
+        snprintf(buf + used, buf_bytes - used, "%s", id);
+        used += strlen(buf + used);
+    }
+}
+
 /* Answers a request that has run, with three records that name the service. */
 static void
 send_run_answer(const Server *server, HrH1Call *call)
@@ -474,10 +503,11 @@
         HrHeaders_FindValue(&call->headers, "Hickoryrouter-Request-Id");
     HrH1Answer answer = {.status = server->mode == SERVER_ERROR  ? 500
                                    : server->mode == SERVER_BUSY ? 503
-                                   : server->mode == SERVER_STATUS
+                                   : server->mode == SERVER_STATUS ||
+                                           server->mode == SERVER_LINES
                                        ? server->answer_status
                                        : 200};
-    char head[384], body[49];
+    char head[1024], body[49];
     uint32_t i;
 
     for (i = 0; i < 3; i++) {
@@ -491,6 +521,9 @@
              "X-Target: %s %s\r\nX-Body-Bytes: %zu\r\n%s",
              id, id, server->service, call->method, call->target,
              call->body.length_bytes, get_statement(server));
+    if (server->mode == SERVER_LINES) {
+        write_answer_lines(server, id, head, sizeof(head));
+    }
     answer.head.data = (const uint8_t *)head;
     answer.head.length_bytes = strlen(head);
     answer.body.data = (const uint8_t *)body;
@@ -630,6 +663,7 @@
     case SERVER_LOADED:
     case SERVER_GARBLED:
     case SERVER_LARGE:
+    case SERVER_LINES:
         send_run_answer(server, call);
         break;
     }
--- a/tests/fake-site.h
+++ b/tests/fake-site.h
@@ -73,6 +73,8 @@
                        depends on its id, and declines those beyond its queue
                      */
     SERVER_LARGE,   /* runs the request and answers with a large body */
+    SERVER_LINES,   /* runs the request and answers with the header lines in
+                       answer_lines instead of its id and digest */
 } ServerMode;
 
 /* A server that is listed in the store. */
@@ -80,7 +82,9 @@
     uint32_t service;
     uint32_t replica;
     ServerMode mode;
-    int answer_status; /* SERVER_STATUS */
+    int answer_status;      /* SERVER_STATUS, SERVER_LINES */
+    char answer_lines[512]; /* SERVER_LINES; "$" stands for the id of the
+                               request */
     bool draining;
     bool listed;
     uint64_t sequence;
--- /dev/null
+++ b/tests/test-process-answers.c
@@ -0,0 +1,213 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <string.h>
+
+#include "common-process.h"
+#include "common-site.h"
+
+/* A real gateway before servers that are sound apart from what one of them
+ * states in the head of its answers. */
+
+#define SERVICES 5 /* four shards, and one service of requests that run once  \
+                    */
+#define REPLICAS 2
+#define ONCE (SERVICES - 1)
+#define ID_LINE "Hickoryrouter-Request-Id: $\r\n"
+#define SEAL_LINE "Hickoryrouter-Response-Seal: seal-$\r\n"
+
+static TestSite site;
+
+static int
+start_site(void **state)
+{
+    (void)state;
+    TestSite_Start(&site, 1, SERVICES, REPLICAS);
+    return 0;
+}
+
+static int
+stop_site(void **state)
+{
+    (void)state;
+    TestSite_Stop(&site);
+    return 0;
+}
+
+/* Has one server answer with a status and these header lines. */
+static void
+set_server_lines(uint32_t service, uint32_t replica, int status,
+                 const char *lines)
+{
+    char target[64];
+    TestAnswer answer;
+
+    snprintf(target, sizeof(target), "/test/server?id=i-%u-%u&mode=lines-%d",
+             service, replica, status);
+    answer = TestHttp_SendRequest(site.store_port, target, NULL, lines);
+    assert_int_equal(answer.status, 200);
+    TestAnswer_Release(&answer);
+}
+
+/* Has all servers of a service answer with a status and these lines. */
+static void
+set_service_lines(uint32_t service, int status, const char *lines)
+{
+    uint32_t i;
+
+    for (i = 0; i < REPLICAS; i++) {
+        set_server_lines(service, i, status, lines);
+    }
+}
+
+static TestReply
+send_search(const char *id)
+{
+    return TestSite_SendRequest(&site, 0, "GET", "/wide/a", id, "", "");
+}
+
+static TestReply
+send_once(const char *id)
+{
+    return TestSite_SendRequest(&site, 0, "POST", "/once/a", id, "", "body");
+}
+
+/* Returns the number of parts that an answer names, which have to be sound. */
+static uint32_t
+count_parts(const TestReply *reply, const char *id)
+{
+    static const char name[] = "Hickoryrouter-Part-Seals: ";
+    const char *at = reply->text;
+    char seal[64];
+    uint32_t parts = 0;
+
+    snprintf(seal, sizeof(seal), "seal-%s", id);
+    while ((at = strstr(at, name)) != NULL) {
+        at += sizeof(name) - 1;
+        assert_int_equal(strncmp(at, seal, strlen(seal)), 0);
+        parts++;
+    }
+    return parts;
+}
+
+/* Fails the test unless an answer of one shard is left out of the merged
+ * answer, with its records, while all of its servers answer like this. */
+static void
+expect_left_out(const char *id, int status, const char *lines)
+{
+    TestReply reply;
+    char value[16];
+
+    set_service_lines(1, status, lines);
+    reply = send_search(id);
+    TestSite_SetServiceMode(&site, 1, "ok");
+    assert_int_equal(reply.status, 200);
+    assert_int_equal(count_parts(&reply, id), SERVICES - 2);
+    assert_string_equal(TestReply_FindHeader(&reply,
+                                             "Hickoryrouter-Missing-Parts",
+                                             value, sizeof(value)),
+                        "1");
+    assert_null(strstr(reply.text + reply.head_bytes, "record-01"));
+}
+
+/* Fails the test unless a request that ran once gets 502, which promises
+ * nothing, while its servers answer like this. */
+static void
+expect_bad_gateway(const char *id, int status, const char *lines)
+{
+    TestReply reply;
+
+    set_service_lines(ONCE, status, lines);
+    reply = send_once(id);
+    TestSite_SetServiceMode(&site, ONCE, "ok");
+    assert_int_equal(reply.status, 502);
+    assert_int_equal(TestSite_CountRuns(&site, id), 1);
+}
+
+/* Guards against a success whose digest is empty, or is no element of a list
+ * of digests, as an answer or as a part of a merged answer (review/14). */
+static void
+test_malformed_digest_is_no_answer(void **state)
+{
+    static const char *const seals[] = {
+        "",        " ",       "3e1b.07, ",       ", 3e1b",    "3e1b 07",
+        "3e1b\t7", "\"3e1b,", "3e1b\x80\xff.07", "3e1b\x01.7"};
+    char lines[128], id[16];
+    size_t i;
+
+    (void)state;
+    for (i = 0; i < sizeof(seals) / sizeof(seals[0]); i++) {
+        snprintf(lines, sizeof(lines),
+                 ID_LINE "Hickoryrouter-Response-Seal: %s\r\n", seals[i]);
+        snprintf(id, sizeof(id), "part%zu", i);
+        expect_left_out(id, 200, lines);
+        snprintf(id, sizeof(id), "once%zu", i);
+        expect_bad_gateway(id, 200, lines);
+    }
+    expect_left_out("parttwo", 200, ID_LINE SEAL_LINE SEAL_LINE);
+    expect_bad_gateway("oncetwo", 200, ID_LINE SEAL_LINE SEAL_LINE);
+    expect_left_out("partnone", 200, ID_LINE);
+    expect_bad_gateway("oncenone", 200, ID_LINE);
+}
+
+/* Guards against a part that is given up, or left in, when one server of its
+ * shard states a malformed digest and another one is sound. */
+static void
+test_sound_server_replaces_malformed_part(void **state)
+{
+    uint32_t i, complete = 0;
+    char id[16];
+
+    (void)state;
+    set_server_lines(1, 0, 200, ID_LINE "Hickoryrouter-Response-Seal: \r\n");
+    for (i = 0; i < 20; i++) {
+        TestReply reply;
+
+        snprintf(id, sizeof(id), "replaced%u", i);
+        reply = send_search(id);
+        assert_int_equal(reply.status, 200);
+        complete += count_parts(&reply, id) == SERVICES - 1;
+    }
+    TestSite_SetServiceMode(&site, 1, "ok");
+    print_message("%u of %u answers complete\n", complete, i);
+    assert_true(complete >= i / 2);
+}
+
+/* Guards against a merged answer that names one digest twice. */
+static void
+test_digest_of_another_part_is_no_part(void **state)
+{
+    TestReply reply;
+    char value[16];
+
+    (void)state;
+    set_service_lines(1, 200, ID_LINE SEAL_LINE);
+    set_service_lines(2, 200, ID_LINE SEAL_LINE);
+    reply = send_search("same");
+    TestSite_SetServiceMode(&site, 1, "ok");
+    TestSite_SetServiceMode(&site, 2, "ok");
+    assert_int_equal(reply.status, 200);
+    assert_int_equal(count_parts(&reply, "same"), SERVICES - 2);
+    assert_string_equal(TestReply_FindHeader(&reply,
+                                             "Hickoryrouter-Missing-Parts",
+                                             value, sizeof(value)),
+                        "1");
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_malformed_digest_is_no_answer),
+        cmocka_unit_test(test_sound_server_replaces_malformed_part),
+        cmocka_unit_test(test_digest_of_another_part_is_no_part),
+    };
+
+    return cmocka_run_group_tests(tests, start_site, stop_site);
+}
