Remove blanks behind the value of a header line

Callers got 504 for a request that had run, when the server stated its id with a blank behind it, and 404 for a Host with one. Cause: the parser library keeps such blanks, which are no part of the value. Change: HrHeaders removes them at the end of each line. Result: test_blanks_behind_values_are_ignored fails before (504 instead of 200) and passes.

--- a/src/proto-headers.c
+++ b/src/proto-headers.c
@@ -83,6 +83,25 @@
     return HR_OK;
 }
 
+/* Removes the blanks behind the value of the last line: the parser passes them
+ * on, but they are no part of the value. */
+static void
+trim_last_value(HrHeaders *headers)
+{
+    uint32_t start;
+
+    if (!headers->in_value) {
+        return;
+    }
+    start = headers->spans[headers->count - 1].value_offset;
+    while (headers->text_bytes > start &&
+           (headers->text[headers->text_bytes - 1] == ' ' ||
+            headers->text[headers->text_bytes - 1] == '\t')) {
+        headers->text_bytes--;
+    }
+    headers->text[headers->text_bytes] = '\0';
+}
+
 /* Adds a line whose name begins at the end of the text, after the NUL of the
  * previous line. */
 static int
@@ -118,6 +137,7 @@
     int rc;
 
     if (headers->count == 0 || headers->in_value) {
+        trim_last_value(headers);
         rc = add_line(headers);
         if (rc != HR_OK) {
             return rc;
@@ -148,6 +168,13 @@
     return append_text(headers, text, length);
 }
 
+/* Ends the last line. */
+void
+HrHeaders_EndHead(HrHeaders *headers)
+{
+    trim_last_value(headers);
+}
+
 /* Returns the name of a line. */
 const char *
 HrHeaders_GetName(const HrHeaders *headers, uint32_t index)
--- a/src/proto-headers.h
+++ b/src/proto-headers.h
@@ -44,6 +44,9 @@
  * there is no line yet, otherwise the same as HrHeaders_AppendName(). */
 int HrHeaders_AppendValue(HrHeaders *headers, const char *text, size_t length);
 
+/* Ends the last line; called when the head is complete. */
+void HrHeaders_EndHead(HrHeaders *headers);
+
 /* Returns the name of a line. The string is valid until the list changes. */
 const char *HrHeaders_GetName(const HrHeaders *headers, uint32_t index);
 
--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -323,10 +323,10 @@
     HrH1ClientConn *conn = parser->data;
     const HrH1ClientConfig *config = &conn->target->client->config;
 
+    HrHeaders_EndHead(&conn->headers);
     if (!is_defined_status(parser->status_code)) {
         return -1;
     }
-
     if (config->echo_header != NULL && conn->echo != NULL) {
         const char *echo =
             HrHeaders_FindValue(&conn->headers, config->echo_header);
--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -436,6 +436,7 @@
     HrH1Conn *conn = parser->data;
     HrH1Server *server = conn->server;
 
+    HrHeaders_EndHead(&conn->call.headers);
     conn->headers_complete = true;
     conn->progress_ns = HrLoop_NowNs(server->loop);
     if (fill_request_line(conn) != HR_OK) {
--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -8,6 +8,7 @@
 
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common-process.h"
 #include "common-site.h"
@@ -15,8 +16,9 @@
 /* A real gateway before servers that are sound apart from what one of them
  * states in the head of its answers. */
 
-#define SERVICES 5 /* four shards, and one service of requests that run once  \
-                    */
+#define SERVICES                                                              \
+    5 /* four shards, and one service of requests that run once               \
+       */
 #define REPLICAS 2
 #define ONCE (SERVICES - 1)
 #define ID_LINE "Hickoryrouter-Request-Id: $\r\n"
@@ -78,6 +80,24 @@
     return TestSite_SendRequest(&site, 0, "POST", "/once/a", id, "", "body");
 }
 
+/* Sends a request with this value of the Host header. */
+static TestReply
+send_with_host(const char *host)
+{
+    int fd = TestSocket_Connect(site.gateways[0].caller_port);
+    char text[256];
+    TestReply reply;
+
+    snprintf(text, sizeof(text),
+             "GET /once/a HTTP/1.1\r\nHickoryrouter-Request-Id: host\r\n"
+             "Host: %s\r\n\r\n",
+             host);
+    TestSocket_WriteText(fd, text);
+    reply = TestSocket_ReadReply(fd);
+    close(fd);
+    return reply;
+}
+
 /* Returns the number of parts that an answer names, which have to be sound. */
 static uint32_t
 count_parts(const TestReply *reply, const char *id)
@@ -200,6 +220,31 @@
                         "1");
 }
 
+/* Guards against blanks behind a value that become a part of it: an answer
+ * that states the id of its request was taken for one to another request, and
+ * the route of a host was not found. */
+static void
+test_blanks_behind_values_are_ignored(void **state)
+{
+    TestReply reply;
+    char value[64];
+
+    (void)state;
+    set_service_lines(ONCE, 200,
+                      "Hickoryrouter-Request-Id: $ \t \r\n"
+                      "Hickoryrouter-Response-Seal: \t seal-$\t\r\n");
+    reply = TestSite_SendRequest(&site, 0, "POST", "/once/a", "blanks",
+                                 "Content-Type: text/plain \t\r\n", "body");
+    TestSite_SetServiceMode(&site, ONCE, "ok");
+    assert_int_equal(reply.status, 200);
+    assert_string_equal(TestReply_FindHeader(&reply,
+                                             "Hickoryrouter-Response-Seal",
+                                             value, sizeof(value)),
+                        "seal-blanks");
+    assert_int_equal(send_with_host("site.example \t").status, 200);
+    assert_int_equal(send_with_host("site.example.").status, 404);
+}
+
 int
 main(void)
 {
@@ -207,6 +252,7 @@
         cmocka_unit_test(test_malformed_digest_is_no_answer),
         cmocka_unit_test(test_sound_server_replaces_malformed_part),
         cmocka_unit_test(test_digest_of_another_part_is_no_part),
+        cmocka_unit_test(test_blanks_behind_values_are_ignored),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
