--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -98,6 +98,17 @@
     return reply;
 }
 
+/* Fails the test unless an answer has a header line with this value. */
+static void
+expect_header(const TestReply *reply, const char *name, const char *expected)
+{
+    char buf[64];
+    const char *value = TestReply_FindHeader(reply, name, buf, sizeof(buf));
+
+    assert_non_null(value);
+    assert_string_equal(value, expected);
+}
+
 /* Returns the number of parts that an answer names, which have to be sound. */
 static uint32_t
 count_parts(const TestReply *reply, const char *id)
@@ -122,17 +133,13 @@
 expect_left_out(const char *id, int status, const char *lines)
 {
     TestReply reply;
-    char value[16];
 
     set_service_lines(1, status, lines);
     reply = send_search(id);
     TestSite_SetServiceMode(&site, 1, "ok");
     assert_int_equal(reply.status, 200);
     assert_int_equal(count_parts(&reply, id), SERVICES - 2);
-    assert_string_equal(TestReply_FindHeader(&reply,
-                                             "Hickoryrouter-Missing-Parts",
-                                             value, sizeof(value)),
-                        "1");
+    expect_header(&reply, "Hickoryrouter-Missing-Parts", "1");
     assert_null(strstr(reply.text + reply.head_bytes, "record-01"));
 }
 
@@ -204,7 +211,6 @@
 test_digest_of_another_part_is_no_part(void **state)
 {
     TestReply reply;
-    char value[16];
 
     (void)state;
     set_service_lines(1, 200, ID_LINE SEAL_LINE);
@@ -214,10 +220,7 @@
     TestSite_SetServiceMode(&site, 2, "ok");
     assert_int_equal(reply.status, 200);
     assert_int_equal(count_parts(&reply, "same"), SERVICES - 2);
-    assert_string_equal(TestReply_FindHeader(&reply,
-                                             "Hickoryrouter-Missing-Parts",
-                                             value, sizeof(value)),
-                        "1");
+    expect_header(&reply, "Hickoryrouter-Missing-Parts", "1");
 }
 
 /* Guards against blanks behind a value that become a part of it: an answer
@@ -227,7 +230,6 @@
 test_blanks_behind_values_are_ignored(void **state)
 {
     TestReply reply;
-    char value[64];
 
     (void)state;
     set_service_lines(ONCE, 200,
@@ -237,14 +239,37 @@
                                  "Content-Type: text/plain \t\r\n", "body");
     TestSite_SetServiceMode(&site, ONCE, "ok");
     assert_int_equal(reply.status, 200);
-    assert_string_equal(TestReply_FindHeader(&reply,
-                                             "Hickoryrouter-Response-Seal",
-                                             value, sizeof(value)),
-                        "seal-blanks");
+    expect_header(&reply, "Hickoryrouter-Response-Seal", "seal-blanks");
     assert_int_equal(send_with_host("site.example \t").status, 200);
     assert_int_equal(send_with_host("site.example.").status, 404);
 }
 
+/* Guards against a success without its digest, and a request without its id,
+ * because a Connection header names them. */
+static void
+test_connection_header_spares_id_and_digest(void **state)
+{
+    TestReply reply;
+    char value[64];
+
+    (void)state;
+    set_service_lines(ONCE, 200,
+                      ID_LINE SEAL_LINE "X-Hop: 1\r\nConnection: X-Hop, "
+                                        "hickoryrouter-response-seal, "
+                                        "Hickoryrouter-Request-Id\r\n");
+    reply = send_once("named");
+    TestSite_SetServiceMode(&site, ONCE, "ok");
+    assert_int_equal(reply.status, 200);
+    expect_header(&reply, "Hickoryrouter-Response-Seal", "seal-named");
+    expect_header(&reply, "Hickoryrouter-Request-Id", "named");
+    assert_null(TestReply_FindHeader(&reply, "X-Hop", value, sizeof(value)));
+    reply = TestSite_SendRequest(
+        &site, 0, "POST", "/once/a", "names",
+        "Connection: Hickoryrouter-Request-Id, Host\r\n", "body");
+    assert_int_equal(reply.status, 200);
+    assert_int_equal(TestSite_CountRuns(&site, "names"), 1);
+}
+
 int
 main(void)
 {
@@ -253,6 +278,7 @@
         cmocka_unit_test(test_sound_server_replaces_malformed_part),
         cmocka_unit_test(test_digest_of_another_part_is_no_part),
         cmocka_unit_test(test_blanks_behind_values_are_ignored),
+        cmocka_unit_test(test_connection_header_spares_id_and_digest),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
