Take no success for a declined request

Cause: the statement was read before the status. Change: below status 400 the two contradict each other; the answer is malformed, and the request may have run. Result: test_success_is_not_declined fails before (no 502) and passes.

--- a/src/daemon-gateway-request.c
+++ b/src/daemon-gateway-request.c
@@ -77,7 +77,7 @@
  * shows that another server has the address now. A successful answer has to
  * state its digest. Only a server that states so has not run the request, so
  * the statuses that would promise it to the caller are not passed on without
- * that statement. */
+ * that statement; a success or redirect with it contradicts itself. */
 static HrAttemptOutcome
 classify_result(const HrH1Result *result, const HrPlatformAnswer *answer)
 {
@@ -95,7 +95,8 @@
         return HR_ATTEMPT_OUTCOME_MISDIRECTED;
     }
     if (answer->not_executed) {
-        return HR_ATTEMPT_OUTCOME_DECLINED;
+        return result->status >= 400 ? HR_ATTEMPT_OUTCOME_DECLINED
+                                     : HR_ATTEMPT_OUTCOME_MALFORMED;
     }
     if (is_promise(result->status)) {
         return HR_ATTEMPT_OUTCOME_MALFORMED;
--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -270,6 +270,20 @@
     assert_int_equal(TestSite_CountRuns(&site, "names"), 1);
 }
 
+/* Guards against a second run of a request that must run at most once, after a
+ * success of a server that also states that it did not run it. */
+static void
+test_success_is_not_declined(void **state)
+{
+    (void)state;
+    expect_bad_gateway("ran", 200,
+                       ID_LINE SEAL_LINE "Hickoryrouter-Not-Executed: 1\r\n");
+    expect_bad_gateway("moved", 302,
+                       ID_LINE SEAL_LINE "Hickoryrouter-Not-Executed: 1\r\n");
+    expect_left_out("partran", 200,
+                    ID_LINE SEAL_LINE "Hickoryrouter-Not-Executed: 1\r\n");
+}
+
 int
 main(void)
 {
@@ -279,6 +293,7 @@
         cmocka_unit_test(test_digest_of_another_part_is_no_part),
         cmocka_unit_test(test_blanks_behind_values_are_ignored),
         cmocka_unit_test(test_connection_header_spares_id_and_digest),
+        cmocka_unit_test(test_success_is_not_declined),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
