Take no encoded body for that of the server

Cause: a success was judged by its digest alone. Change: an encoded success is malformed unless the caller's Accept-Encoding names an encoding; a part may be neither encoded nor a range. Result: test_encoded_body_is_no_answer fails before (the part was merged) and passes.

--- a/src/daemon-gateway-request-int.h
+++ b/src/daemon-gateway-request-int.h
@@ -38,6 +38,7 @@
                            waits for the limit of its tenant */
     HrLoopTimer *timer; /* passes a timer event to forward */
     const char *id;     /* as stated by the caller; "": none */
+    bool accepts_encoding; /* the body of the answer may be encoded */
     int64_t deadline_ns;
     int64_t spent_ns;     /* see HrForwardConfig */
     HrBuffer head;        /* head of the request, the same for all attempts */
--- a/src/daemon-gateway-request.c
+++ b/src/daemon-gateway-request.c
@@ -73,13 +73,30 @@
     return status == 408 || status == 429 || status == 503;
 }
 
+/* Returns true if an answer with a status 2xx has the server's whole body and
+ * its digest. A part of a merged answer has to be read here, so it may be
+ * neither encoded nor a range of the body. */
+static bool
+is_whole_success(const HrGatewayRequest *request, int status,
+                 const HrPlatformAnswer *answer)
+{
+    if (answer->digest == NULL) {
+        return false;
+    }
+    if (request->route->kind == HR_FORWARD_SHARDS) {
+        return !answer->encoded && status != 206;
+    }
+    return !answer->encoded || request->accepts_encoding;
+}
+
 /* Returns the outcome of an attempt that ended with this result. Status 421
- * shows that another server has the address now. A successful answer has to
- * state its digest. Only a server that states so has not run the request, so
- * the statuses that would promise it to the caller are not passed on without
- * that statement; a success or redirect with it contradicts itself. */
+ * shows that another server has the address now. Only a server that states so
+ * has not run the request, so the statuses that would promise it to the caller
+ * are not passed on without that statement; a success or redirect with it
+ * contradicts itself. */
 static HrAttemptOutcome
-classify_result(const HrH1Result *result, const HrPlatformAnswer *answer)
+classify_result(const HrGatewayRequest *request, const HrH1Result *result,
+                const HrPlatformAnswer *answer)
 {
     switch (result->outcome) {
     case HR_H1_NOT_SENT:
@@ -102,8 +119,9 @@
         return HR_ATTEMPT_OUTCOME_MALFORMED;
     }
     if (result->status / 100 == 2) {
-        return answer->digest != NULL ? HR_ATTEMPT_OUTCOME_OK
-                                      : HR_ATTEMPT_OUTCOME_MALFORMED;
+        return is_whole_success(request, result->status, answer)
+                   ? HR_ATTEMPT_OUTCOME_OK
+                   : HR_ATTEMPT_OUTCOME_MALFORMED;
     }
     return result->status / 100 == 4 ? HR_ATTEMPT_OUTCOME_CLIENT_ERROR
                                      : HR_ATTEMPT_OUTCOME_SERVER_ERROR;
@@ -178,7 +196,7 @@
     HrCounters_Add(counters, HR_COUNTER_answers_bad_fields,
                    answer.malformed_count);
     event.u.reply.signal = read_signal(result, &answer);
-    event.u.reply.reply = classify_result(result, &answer);
+    event.u.reply.reply = classify_result(request, result, &answer);
     if (event.u.reply.reply == HR_ATTEMPT_OUTCOME_OK &&
         request->route->kind == HR_FORWARD_SHARDS &&
         is_part_needed(request, attempt->unit) &&
@@ -480,6 +498,7 @@
     request->priority = tenant != NULL && tenant->has_priority
                             ? tenant->priority
                             : route->priority;
+    request->accepts_encoding = parsed->accepts_encoding;
     request->id = parsed->request_id != NULL ? parsed->request_id : "";
     request->deadline_ns = call->received_ns + timeout_ms * HR_NS_PER_MS;
     HrBuffer_Init(&request->head, request);
--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -284,6 +284,34 @@
                     ID_LINE SEAL_LINE "Hickoryrouter-Not-Executed: 1\r\n");
 }
 
+/* Guards against an encoded body, or a range of a body, that passes for the
+ * server's whole body: callers that accept no encoding cannot read it, and a
+ * merged answer had records of it. */
+static void
+test_encoded_body_is_no_answer(void **state)
+{
+    static const char gzip[] = ID_LINE SEAL_LINE "Content-Encoding: gzip\r\n";
+    TestReply reply;
+
+    (void)state;
+    expect_left_out("partgzip", 200, gzip);
+    expect_left_out("partrange", 206, ID_LINE SEAL_LINE);
+    expect_bad_gateway("oncegzip", 200, gzip);
+    set_service_lines(ONCE, 200, gzip);
+    reply = TestSite_SendRequest(&site, 0, "POST", "/once/a", "accepts",
+                                 "Accept-Encoding: identity, gzip\r\n", "b");
+    assert_int_equal(reply.status, 200);
+    expect_header(&reply, "Content-Encoding", "gzip");
+    reply =
+        TestSite_SendRequest(&site, 0, "POST", "/once/a", "excludes",
+                             "Accept-Encoding: identity;q=1, *;q=0\r\n", "b");
+    assert_int_equal(reply.status, 502);
+    set_service_lines(ONCE, 200,
+                      ID_LINE SEAL_LINE "Content-Encoding: identity\r\n");
+    assert_int_equal(send_once("identity").status, 200);
+    TestSite_SetServiceMode(&site, ONCE, "ok");
+}
+
 int
 main(void)
 {
@@ -294,6 +322,7 @@
         cmocka_unit_test(test_blanks_behind_values_are_ignored),
         cmocka_unit_test(test_connection_header_spares_id_and_digest),
         cmocka_unit_test(test_success_is_not_declined),
+        cmocka_unit_test(test_encoded_body_is_no_answer),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
