Take an answer with the ids of two requests for malformed

Cause: only the first line with an id was compared. Change: different ids make an answer malformed; its connection is closed. Result: test_answer_with_two_ids_is_no_answer fails before (the part was merged) and passes.

--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -307,6 +307,22 @@
     return echo == NULL && !conn->fresh && conn->parser.status_code / 100 != 1;
 }
 
+/* Returns true if an answer states the ids of two requests. */
+static bool
+has_two_ids(const HrHeaders *headers, const char *name)
+{
+    const char *first = HrHeaders_FindValue(headers, name);
+    uint32_t i;
+
+    for (i = 0; first != NULL && i < headers->count; i++) {
+        if (strcasecmp(HrHeaders_GetName(headers, i), name) == 0 &&
+            strcmp(HrHeaders_GetValue(headers, i), first) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns true if HTTP defines the status for an answer to this client, which
  * never requests the change of protocols that status 101 announces. A status
  * such as 000 comes from a server in trouble and says nothing about the
@@ -331,7 +347,8 @@
         const char *echo =
             HrHeaders_FindValue(&conn->headers, config->echo_header);
 
-        if (is_of_unknown_request(conn, echo)) {
+        if (is_of_unknown_request(conn, echo) ||
+            has_two_ids(&conn->headers, config->echo_header)) {
             return -1;
         }
         if (echo != NULL && strcmp(echo, conn->echo) != 0) {
--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -312,6 +312,22 @@
     TestSite_SetServiceMode(&site, ONCE, "ok");
 }
 
+/* Guards against an answer that states the ids of two requests and is taken
+ * for the answer to one of them. */
+static void
+test_answer_with_two_ids_is_no_answer(void **state)
+{
+    static const char other[] = "Hickoryrouter-Request-Id: other\r\n";
+    char lines[128];
+
+    (void)state;
+    snprintf(lines, sizeof(lines), ID_LINE SEAL_LINE "%s", other);
+    expect_left_out("partids", 200, lines);
+    expect_bad_gateway("onceids", 200, lines);
+    snprintf(lines, sizeof(lines), "%s" SEAL_LINE ID_LINE, other);
+    expect_bad_gateway("idsonce", 200, lines);
+}
+
 int
 main(void)
 {
@@ -323,6 +339,7 @@
         cmocka_unit_test(test_connection_header_spares_id_and_digest),
         cmocka_unit_test(test_success_is_not_declined),
         cmocka_unit_test(test_encoded_body_is_no_answer),
+        cmocka_unit_test(test_answer_with_two_ids_is_no_answer),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
