Ignore trailers of chunked messages

Cause: the parser passes them through the callbacks of the header lines. Change: HrHeaders is closed at the end of the head.

--- a/src/proto-headers.c
+++ b/src/proto-headers.c
@@ -51,6 +51,7 @@
     headers->count = 0;
     headers->marked_count = 0;
     headers->in_value = false;
+    headers->is_closed = false;
 }
 
 /* Appends bytes and a NUL, which the next piece overwrites. The limit of
@@ -136,6 +137,9 @@
 {
     int rc;
 
+    if (headers->is_closed) {
+        return HR_OK;
+    }
     if (headers->count == 0 || headers->in_value) {
         trim_last_value(headers);
         rc = add_line(headers);
@@ -156,6 +160,9 @@
 int
 HrHeaders_AppendValue(HrHeaders *headers, const char *text, size_t length)
 {
+    if (headers->is_closed) {
+        return HR_OK;
+    }
     if (headers->count == 0) {
         return HR_ERR_PROTOCOL;
     }
@@ -168,11 +175,12 @@
     return append_text(headers, text, length);
 }
 
-/* Ends the last line. */
+/* Ends the last line, and ignores what is appended later. */
 void
 HrHeaders_EndHead(HrHeaders *headers)
 {
     trim_last_value(headers);
+    headers->is_closed = true;
 }
 
 /* Returns the name of a line. */
--- a/src/proto-headers.h
+++ b/src/proto-headers.h
@@ -25,6 +25,7 @@
     uint32_t capacity;     /* of spans */
     uint32_t marked_count; /* lines for which is_hop_by_hop is known */
     bool in_value;         /* the last appended piece belonged to a value */
+    bool is_closed;        /* the head is complete */
 } HrHeaders;
 
 /* Initializes an empty list. Its memory is allocated as talloc children of
@@ -44,7 +45,9 @@
  * there is no line yet, otherwise the same as HrHeaders_AppendName(). */
 int HrHeaders_AppendValue(HrHeaders *headers, const char *text, size_t length);
 
-/* Ends the last line; called when the head is complete. */
+/* Ends the last line; called when the head is complete. Lines behind the body
+ * (trailers) are ignored: what states the route, the id or the digest of a
+ * message stands in its head. */
 void HrHeaders_EndHead(HrHeaders *headers);
 
 /* Returns the name of a line. The string is valid until the list changes. */
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -42,6 +42,8 @@
     int accepted; /* -1: none */
     uint32_t results;
     bool complete; /* the last result was a complete answer */
+    char body[64]; /* of the last complete answer */
+    uint32_t header_lines;
 } Fixture;
 
 /* Creates a fixture. */
@@ -95,6 +97,12 @@
 
     fixture->results++;
     fixture->complete = result->outcome == HR_H1_ANSWERED;
+    if (fixture->complete) {
+        snprintf(fixture->body, sizeof(fixture->body), "%.*s",
+                 (int)result->body.length_bytes,
+                 (const char *)result->body.data);
+        fixture->header_lines = result->headers->count;
+    }
 }
 
 /* Records the result of a request of the daemons' own client. */
@@ -335,6 +343,45 @@
     free_fixture(fixture);
 }
 
+/* Sends an answer as it stands, in two parts, and closes the connection.
+ * Returns true if the client takes it for a complete answer. */
+static bool
+is_accepted_answer(Fixture *fixture, const char *answer, size_t cut)
+{
+    uint32_t results = fixture->results + 1;
+
+    start_request(fixture, false, false);
+    receive_request(fixture);
+    assert_int_equal(send(fixture->accepted, answer, cut, MSG_NOSIGNAL), cut);
+    HrLoop_RunOnce(fixture->loop, 2 * MS);
+    TestSocket_WriteText(fixture->accepted, answer + cut);
+    HrLoop_RunOnce(fixture->loop, 2 * MS);
+    close_connection(fixture, false);
+    wait_for_result(fixture, results);
+    wait_for_idle(fixture);
+    return fixture->complete;
+}
+
+/* Guards against lines behind a body that count as header lines: a server
+ * could state there, after its answer was checked, that it is one to another
+ * request or that it did not run. */
+static void
+test_trailers_are_no_header_lines(void **state)
+{
+    static const char answer[] =
+        "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nabcde\r\n0\r\nX-Id: 2\r\nX-Not-Run: 1\r\n\r\n";
+    Fixture *fixture = create_fixture(*state);
+    size_t cut;
+
+    for (cut = 1; cut < strlen(answer); cut++) {
+        assert_true(is_accepted_answer(fixture, answer, cut));
+        assert_string_equal(fixture->body, "abcde");
+        assert_int_equal(fixture->header_lines, 2);
+    }
+    free_fixture(fixture);
+}
+
 /* Sends a block again and again on a socket until the other end closes the
  * connection, the request has a result or limit_bytes have been sent. Returns
  * the number of bytes sent. */
@@ -541,6 +588,7 @@
         cmocka_unit_test(test_cut_answer_is_not_complete),
         cmocka_unit_test(test_cut_answer_is_not_complete_on_the_own_path),
         cmocka_unit_test(test_undefined_status_is_malformed),
+        cmocka_unit_test(test_trailers_are_no_header_lines),
         cmocka_unit_test(test_heads_share_the_memory_limit),
         cmocka_unit_test(test_small_answer_displaces_a_large_one),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
