Take no body with a transfer coding for the server's own

Cause: the parser only looks at the last coding, and the line is not forwarded. Result: test_unknown_framing_is_malformed and test_bad_requests_get_a_clear_status fail before and pass.

--- a/src/proto-headers.c
+++ b/src/proto-headers.c
@@ -230,6 +230,17 @@
     return first;
 }
 
+/* Returns true if the body is sent as it is or in chunks. */
+bool
+HrHeaders_IsFramingKnown(const HrHeaders *headers)
+{
+    uint32_t count;
+    const char *coding =
+        HrHeaders_FindFirst(headers, "transfer-encoding", &count);
+
+    return count == 0 || (count == 1 && strcasecmp(coding, "chunked") == 0);
+}
+
 /* Returns true if a comma-separated list includes a token, ignoring case. */
 static bool
 has_token(const char *list, const char *token)
--- a/src/proto-headers.h
+++ b/src/proto-headers.h
@@ -64,6 +64,10 @@
 const char *HrHeaders_FindFirst(const HrHeaders *headers, const char *name,
                                 uint32_t *count);
 
+/* Returns true if the body is sent as it is or in chunks, without a coding
+ * that would have to be decoded before it can be forwarded. */
+bool HrHeaders_IsFramingKnown(const HrHeaders *headers);
+
 /* Finds the lines that must not be forwarded, in a time that is nearly linear
  * in the length of the message. Called when all lines are complete. Returns 0
  * or HR_ERR_NO_MEMORY. */
--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -340,7 +340,8 @@
     const HrH1ClientConfig *config = &conn->target->client->config;
 
     HrHeaders_EndHead(&conn->headers);
-    if (!is_defined_status(parser->status_code)) {
+    if (parser->http_major != 1 || !is_defined_status(parser->status_code) ||
+        !HrHeaders_IsFramingKnown(&conn->headers)) {
         return -1;
     }
     if (config->echo_header != NULL && conn->echo != NULL) {
--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -442,6 +442,10 @@
     if (fill_request_line(conn) != HR_OK) {
         return -1;
     }
+    if (!HrHeaders_IsFramingKnown(&conn->call.headers)) {
+        conn->refusal_status = 501;
+        return -1;
+    }
     if (server->head_fn != NULL && has_body(parser)) {
         conn->refusal_status = server->head_fn(server->arg, &conn->call);
     }
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -163,6 +163,14 @@
                          "\r\n0\r\n\r\n");
     assert_int_equal(TestSocket_ReadReply(fd).status, 400);
     close(fd);
+    fd = TestSocket_Connect(site.gateways[0].caller_port);
+    TestSocket_WriteText(fd, "POST /once/x HTTP/1.1\r\nHost: site.example\r\n"
+                             "Hickoryrouter-Request-Id: coded\r\n"
+                             "Transfer-Encoding: gzip, chunked\r\n"
+                             "\r\n1\r\na\r\n0\r\n\r\n");
+    assert_int_equal(TestSocket_ReadReply(fd).status, 501);
+    close(fd);
+    assert_int_equal(TestSite_CountRuns(&site, "coded"), 0);
 }
 
 /* Guards against answers that are missing or in the wrong order when a caller
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -382,6 +382,47 @@
     free_fixture(fixture);
 }
 
+/* Guards against an answer whose body cannot be read as it stands, because it
+ * has a transfer coding besides chunked or comes in another version of HTTP,
+ * that the caller gets as the body of the server. */
+static void
+test_unknown_framing_is_malformed(void **state)
+{
+    static const char *const sound[] = {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTRANSFER-ENCODING: Chunked \r\n\r\n"
+        "5\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\n\r\nabcde",
+    };
+    static const char *const unknown[] = {
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        "5\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n\r\n"
+        "5\r\nabcde\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabcde",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\nabcde",
+        "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+        "HTTP/0.9 200 OK\r\nContent-Length: 5\r\n\r\nabcde",
+    };
+    Fixture *fixture = create_fixture(*state);
+    size_t i;
+
+    for (i = 0; i < sizeof(sound) / sizeof(sound[0]); i++) {
+        assert_true(is_accepted_answer(fixture, sound[i], 20));
+        assert_string_equal(fixture->body, "abcde");
+    }
+    for (i = 0; i < sizeof(unknown) / sizeof(unknown[0]); i++) {
+        if (is_accepted_answer(fixture, unknown[i], 20)) {
+            fail_msg("accepted:\n%s", unknown[i]);
+        }
+    }
+    free_fixture(fixture);
+}
+
 /* Sends a block again and again on a socket until the other end closes the
  * connection, the request has a result or limit_bytes have been sent. Returns
  * the number of bytes sent. */
@@ -589,6 +630,7 @@
         cmocka_unit_test(test_cut_answer_is_not_complete_on_the_own_path),
         cmocka_unit_test(test_undefined_status_is_malformed),
         cmocka_unit_test(test_trailers_are_no_header_lines),
+        cmocka_unit_test(test_unknown_framing_is_malformed),
         cmocka_unit_test(test_heads_share_the_memory_limit),
         cmocka_unit_test(test_small_answer_displaces_a_large_one),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
