Require the line ends of chunks and heads in answers

Cause: the parser library, as packaged, takes any byte for a line feed behind a chunk, its size, the last chunk and the head. Change: the client stops the parser there and checks the bytes; without a line end the answer is malformed.

--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -366,6 +366,8 @@
         parser->content_length != UINT64_MAX) {
         HrH1ClientConn_ReserveBody(conn, (size_t)parser->content_length);
     }
+    conn->at_head_end = true;
+    http_parser_pause(parser, 1);
     return conn->is_head ? 1 : 0;
 }
 
@@ -417,14 +419,75 @@
     return HrHeaders_MarkHopByHop(&conn->headers) != HR_OK;
 }
 
+/* Stops the parser behind the line of a chunk's size, and behind the line end
+ * that follows its data, since it takes any bytes for a line end. */
+static int
+on_chunk_header(http_parser *parser)
+{
+    HrH1ClientConn *conn = parser->data;
+
+    conn->at_line_end = true;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static int
+on_chunk_complete(http_parser *parser)
+{
+    /* The end of the trailers is the end of the answer. */
+    return (parser->flags & F_TRAILING) != 0 ? 0 : on_chunk_header(parser);
+}
+
 static const http_parser_settings parser_settings = {
     .on_header_field = on_name,
     .on_header_value = on_value,
     .on_headers_complete = on_headers,
     .on_body = on_body,
     .on_message_complete = on_complete,
+    .on_chunk_header = on_chunk_header,
+    .on_chunk_complete = on_chunk_complete,
 };
 
+/* Returns true if the parser has stopped at a line end, and the bytes there
+ * are one; used is the number of bytes parsed. */
+static bool
+is_at_line_end(const HrH1ClientConn *conn, const uint8_t *data, size_t used)
+{
+    if (conn->at_head_end) {
+        return data[used] == '\n';
+    }
+    return conn->at_line_end && data[used - 1] == '\n' &&
+           (used > 1 ? data[used - 2] : conn->last_byte) == '\r';
+}
+
+/* Parses bytes until an answer is complete or malformed, and returns the
+ * number parsed. The parser takes any byte for a line feed at the end of the
+ * head, in the lines of chunks and behind the last chunk. */
+static size_t
+parse_bytes(HrH1ClientConn *conn, const uint8_t *data, size_t length)
+{
+    http_parser *parser = &conn->parser;
+    size_t used = 0;
+
+    do {
+        conn->at_head_end = conn->at_line_end = false;
+        used += http_parser_execute(parser, &parser_settings,
+                                    (const char *)data + used, length - used);
+        if (!is_at_line_end(conn, data, used)) {
+            break;
+        }
+        http_parser_pause(parser, 0);
+    } while (used < length);
+    if (conn->answer_complete && (parser->flags & F_CHUNKED) != 0 &&
+        data[used - 1] != '\n') {
+        conn->answer_complete = false;
+    }
+    if (length > 0) {
+        conn->last_byte = data[length - 1];
+    }
+    return used;
+}
+
 /* Parses received bytes of an answer. A length of 0 means that the server
  * closed the connection. */
 void
@@ -440,8 +503,7 @@
         HrH1ClientConn_FailRequest(conn);
         return;
     }
-    used = http_parser_execute(&conn->parser, &parser_settings,
-                               (const char *)data, length);
+    used = parse_bytes(conn, data, length);
     if (conn->answer_complete) {
         bool reuse = !at_end && used == length && !conn->close_after_answer &&
                      HrBuffer_GetLength(&conn->out) == 0 &&
--- a/src/trans-h1-client-int.h
+++ b/src/trans-h1-client-int.h
@@ -52,6 +52,10 @@
                                 request */
     bool answer_complete;    /* the answer was received completely */
     bool answer_too_large;
+    bool at_head_end;  /* the parser has stopped before the line feed that ends
+                          the head */
+    bool at_line_end;  /* the parser has stopped behind the line of a chunk */
+    uint8_t last_byte; /* the last one that was parsed */
     bool waiting; /* for room for the answer; not being read */
     bool dead;
 };
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -423,6 +423,52 @@
     free_fixture(fixture);
 }
 
+/* Guards against a byte of a body that is taken for a line end, as that of a
+ * chunk which is longer than it states, so that the caller gets a part of the
+ * body as the whole one. Each answer comes in two packets, cut at each byte.
+ */
+static void
+test_missing_line_end_is_malformed(void **state)
+{
+    static const char head[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked";
+    static const char *const sound[] = {
+        "\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        "\r\n\r\n2;a=b\r\nab\r\n3\r\ncde\r\n0\r\nA: b\r\n\r\n",
+    };
+    static const char *const malformed[] = {
+        "\r\n\r\n5\r\nabcdefg0\r\n\r\n",
+        "\r\n\r\n5\r\nabcde\rX0\r\n\r\n",
+        "\r\n\r\n5\r\nabcdeX\n0\r\n\r\n",
+        "\r\n\r\n5\rXabcde\r\n0\r\n\r\n",
+        "\r\n\r\n2\r\nabcd3\r\ncde\r\n0\r\n\r\n",
+        "\r\n\r\n5\r\nabcde\r\n0\rX\r\n",
+        "\r\n\r\n5\r\nabcde\r\n0\r\n\rX",
+        "\r\n\rX5\r\nabcde\r\n0\r\n\r\n",
+    };
+    Fixture *fixture = create_fixture(*state);
+    char answer[128];
+    size_t i, cut;
+
+    for (i = 0; i < sizeof(sound) / sizeof(sound[0]); i++) {
+        snprintf(answer, sizeof(answer), "%s%s", head, sound[i]);
+        for (cut = 1; cut < strlen(answer); cut++) {
+            assert_true(is_accepted_answer(fixture, answer, cut));
+            assert_string_equal(fixture->body, "abcde");
+        }
+    }
+    assert_false(is_accepted_answer(
+        fixture, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\rabcdef", 20));
+    for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++) {
+        snprintf(answer, sizeof(answer), "%s%s", head, malformed[i]);
+        for (cut = 1; cut < strlen(answer); cut++) {
+            if (is_accepted_answer(fixture, answer, cut)) {
+                fail_msg("cut after %zu bytes:\n%s", cut, answer);
+            }
+        }
+    }
+    free_fixture(fixture);
+}
+
 /* Sends a block again and again on a socket until the other end closes the
  * connection, the request has a result or limit_bytes have been sent. Returns
  * the number of bytes sent. */
@@ -631,6 +677,7 @@
         cmocka_unit_test(test_undefined_status_is_malformed),
         cmocka_unit_test(test_trailers_are_no_header_lines),
         cmocka_unit_test(test_unknown_framing_is_malformed),
+        cmocka_unit_test(test_missing_line_end_is_malformed),
         cmocka_unit_test(test_heads_share_the_memory_limit),
         cmocka_unit_test(test_small_answer_displaces_a_large_one),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
