Accept heads above 80 KB where the limit allows them

Cause: the parser library has its own limit of 80 KB, which nothing raised. Change: it is lifted; a connection counts all bytes of an incomplete head, at most twice the limit in force, and 80 KB in any case.

--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -31,6 +31,11 @@
 /* A request that holds no more than this may use the whole budget. */
 #define SMALL_REQUEST_BYTES ((size_t)48 * 1024)
 
+/* A head may have as many bytes besides its target, names and values, such as
+ * blanks and line ends, but always this number. */
+#define HEAD_BYTES_FACTOR 2
+#define HEAD_BYTES_MIN ((uint64_t)80 * 1024)
+
 /* Callers that are refused because memory is short return after this time and
  * up to as long again. */
 #define MEMORY_RETRY_NS (500 * HR_NS_PER_MS)
@@ -170,6 +175,7 @@
     HrBuffer_FreeIfEmpty(&conn->pending);
     HrBuffer_FreeIfEmpty(&conn->out);
     conn->header_bytes = 0;
+    conn->head_bytes = 0;
     conn->call.retry_after_ns = 0;
     conn->headers_complete = false;
     conn->message_complete = false;
@@ -564,6 +570,19 @@
     server->call_fn(server->arg, &conn->call);
 }
 
+/* Counts bytes of a head that is not complete yet. Returns false if there are
+ * too many, whatever they are. */
+static bool
+count_head_bytes(HrH1Conn *conn, size_t length)
+{
+    uint64_t limit_bytes =
+        (uint64_t)conn->limits.max_header_bytes * HEAD_BYTES_FACTOR;
+
+    conn->head_bytes += length;
+    return conn->head_bytes <=
+           (limit_bytes > HEAD_BYTES_MIN ? limit_bytes : HEAD_BYTES_MIN);
+}
+
 /* Parses bytes until a request is complete, and passes the request to the
  * receiver. Refuses a malformed one. Returns the number of bytes parsed. */
 static size_t
@@ -592,6 +611,11 @@
         dispatch_request(conn);
         return used;
     }
+    if (error == HPE_OK && !conn->headers_complete &&
+        !count_head_bytes(conn, used)) {
+        HrH1Conn_Refuse(conn, 431);
+        return length;
+    }
     if (error != HPE_OK) {
         HrH1Conn_Refuse(conn, conn->refusal_status != 0 ? conn->refusal_status
                                                         : 400);
--- a/src/trans-h1-server-int.h
+++ b/src/trans-h1-server-int.h
@@ -40,7 +40,8 @@
     HrBuffer body;
     HrBuffer pending; /* received but not parsed yet */
     HrBuffer out;
-    uint32_t header_bytes;
+    uint32_t header_bytes; /* of the target, the names and the values */
+    uint64_t head_bytes;   /* all bytes of an incomplete head */
     int refusal_status; /* status with which the request is refused; 0: it is
                            not refused */
     bool headers_complete;
--- a/src/trans-h1-server.c
+++ b/src/trans-h1-server.c
@@ -3,6 +3,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <pthread.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <talloc.h>
@@ -319,6 +320,14 @@
     return 0;
 }
 
+/* Lifts the parser's own limit of a head, 80 KB, which is the same for the
+ * whole process: each connection has its limits. */
+static void
+lift_parser_limit(void)
+{
+    http_parser_set_max_header_size(UINT32_MAX);
+}
+
 /* Creates a listener. */
 HrH1Server *
 HrH1Server_Create(const void *parent, HrLoop *loop, const char *listen,
@@ -326,12 +335,14 @@
                   HrH1CallFn *call_fn, HrH1DisconnectFn *disconnect_fn,
                   void *arg, HrError *err)
 {
+    static pthread_once_t once = PTHREAD_ONCE_INIT;
     int fd = HrSocket_OpenListener(listen, err);
     HrH1Server *server;
 
     if (fd < 0) {
         return NULL;
     }
+    pthread_once(&once, lift_parser_limit);
     server = talloc_zero(parent, HrH1Server);
     if (server != NULL) {
         server->watch = HrLoop_AddFd(loop, fd, HR_LOOP_READ,
--- a/tests/fake-site.c
+++ b/tests/fake-site.c
@@ -743,7 +743,7 @@
 int
 main(int argc, char **argv)
 {
-    const HrH1Limits limits = {65536, 1 << 20, 60000, 60000};
+    const HrH1Limits limits = {8 << 20, 8 << 20, 60000, 60000};
     HrError err = {0};
 
     if (argc != 4) {
--- /dev/null
+++ b/tests/test-process-caller-limits.c
@@ -0,0 +1,274 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <errno.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common-process.h"
+#include "common-site.h"
+
+/* Each limit of the desired state, raised and lowered while real gateways run.
+ * A request that every desired state in force allows must not be refused with
+ * a status that ends its caller's retries (review/10). */
+
+#define GATEWAYS 2
+/* The routes have to be in force this long after the store accepted them. */
+#define APPLY_MS 3000
+#define LARGEST UINT32_MAX
+/* Sizes above this are not sent. */
+#define SENT_MAX_BYTES (4u << 20)
+
+static TestSite site;
+static uint32_t request_number;
+
+static int
+start_site(void **state)
+{
+    (void)state;
+    TestSite_Start(&site, GATEWAYS, 2, 2);
+    return 0;
+}
+
+static int
+stop_site(void **state)
+{
+    (void)state;
+    TestSite_Stop(&site);
+    return 0;
+}
+
+/* Writes a version of the routes with limits such as "body=1000&header=500",
+ * without waiting for the gateways. Returns the version. */
+static int64_t
+write_limits(const char *limits)
+{
+    char target[128];
+    int64_t version;
+
+    snprintf(target, sizeof(target), "/test/routes?%s", limits);
+    version = TestSite_SendControl(&site, target, "version");
+    assert_true(version > 0);
+    return version;
+}
+
+/* Fails the test unless the gateways have a version within the time that they
+ * have. */
+static void
+wait_for_version(int64_t version)
+{
+    int64_t end_ms = TestClock_GetWallMs() + APPLY_MS;
+    uint32_t i;
+
+    for (i = 0; i < GATEWAYS; i++) {
+        while (TestSite_ReadMetric(&site, i, "\nhickory_routes_version ") !=
+               version) {
+            assert_true(TestClock_GetWallMs() < end_ms);
+            TestClock_SleepMs(10);
+        }
+    }
+}
+
+/* Puts limits in force. */
+static void
+set_limits(const char *limits)
+{
+    wait_for_version(write_limits(limits));
+}
+
+/* Sets one size limit. */
+static void
+set_size_limit(const char *name, uint32_t bytes)
+{
+    char limits[64];
+
+    snprintf(limits, sizeof(limits), "%s=%u", name, bytes);
+    set_limits(limits);
+}
+
+/* Sends bytes until all are sent or the other end has closed. */
+static void
+write_bytes(int fd, const char *bytes, size_t length)
+{
+    while (length > 0) {
+        ssize_t sent = send(fd, bytes, length, MSG_NOSIGNAL);
+
+        if (sent < 0 && errno == EINTR) {
+            continue;
+        }
+        if (sent < 0) {
+            return;
+        }
+        bytes += sent;
+        length -= (size_t)sent;
+    }
+}
+
+/* Sends a number of equal bytes. */
+static void
+write_filler(int fd, size_t length)
+{
+    char *filler = malloc(length + 1);
+
+    assert_non_null(filler);
+    memset(filler, 'x', length);
+    write_bytes(fd, filler, length);
+    free(filler);
+}
+
+/* Writes the start of the head of a request with an id of its own; the caller
+ * adds further lines and the empty line. Returns the bytes of its target, its
+ * names and its values. */
+static size_t
+write_head_start(int fd)
+{
+    char text[192], number[16];
+
+    snprintf(number, sizeof(number), "limit%u", ++request_number);
+    snprintf(text, sizeof(text),
+             "POST /once/l HTTP/1.1\r\nHost: site.example\r\n"
+             "Hickoryrouter-Request-Id: %s\r\n",
+             number);
+    TestSocket_WriteText(fd, text);
+    return strlen("/once/l") + strlen("Hostsite.example") +
+           strlen("Hickoryrouter-Request-Id") + strlen(number);
+}
+
+/* Sends a body with its length, or in one chunk. Returns the status. */
+static int
+send_body(int fd, uint32_t bytes, bool chunked)
+{
+    char text[96];
+
+    write_head_start(fd);
+    snprintf(text, sizeof(text),
+             chunked ? "Transfer-Encoding: chunked\r\n\r\n%x\r\n"
+                     : "Content-Length: %u\r\n\r\n",
+             bytes);
+    TestSocket_WriteText(fd, text);
+    write_filler(fd, bytes);
+    if (chunked) {
+        write_bytes(fd, "\r\n0\r\n\r\n", 7);
+    }
+    return TestSocket_ReadReply(fd).status;
+}
+
+/* Sends a head whose target, names and values have this number of bytes, in
+ * lines of at most line_bytes. Returns the status. */
+static int
+send_head(int fd, uint32_t bytes, size_t line_bytes)
+{
+    size_t left = bytes - write_head_start(fd);
+
+    left -= strlen("Content-Length0");
+    while (left > 0) {
+        size_t length = left < line_bytes ? left : line_bytes;
+
+        write_bytes(fd, "X: ", 3);
+        write_filler(fd, length - 1);
+        write_bytes(fd, "\r\n", 2);
+        left -= length;
+    }
+    write_bytes(fd, "Content-Length: 0\r\n\r\n", 21);
+    return TestSocket_ReadReply(fd).status;
+}
+
+/* Sends a request with a body or head of this size to each gateway on a kept
+ * connection, and on a new one, and expects a status. */
+static void
+expect_size(const int *kept, bool is_head, uint32_t bytes, int status)
+{
+    uint32_t i, form;
+
+    for (i = 0; i < GATEWAYS; i++) {
+        for (form = 0; form < 4; form++) {
+            bool is_new = form / 2 == 1 || status != 200;
+            int fd = is_new ? TestSocket_Connect(site.gateways[i].caller_port)
+                            : kept[i];
+            int got = is_head ? send_head(fd, bytes, form % 2 ? 900 : bytes)
+                              : send_body(fd, bytes, form % 2 == 1);
+
+            if (got != status) {
+                fail_msg("gateway %u, %s of %u bytes, form %u: %d", i,
+                         is_head ? "head" : "body", bytes, form, got);
+            }
+            if (is_new) {
+                close(fd);
+            }
+        }
+    }
+}
+
+/* Puts the values of a size limit in force one after the other, and expects
+ * that what has just this size is served and one byte more is refused. */
+static void
+check_size_limit(const char *name, bool is_head, const uint32_t *limits,
+                 size_t count, int refusal)
+{
+    int kept[GATEWAYS];
+    uint32_t i;
+    size_t j;
+
+    for (i = 0; i < GATEWAYS; i++) {
+        kept[i] = TestSocket_Connect(site.gateways[i].caller_port);
+    }
+    for (j = 0; j < count; j++) {
+        uint32_t largest =
+            limits[j] < SENT_MAX_BYTES ? limits[j] : SENT_MAX_BYTES;
+
+        set_size_limit(name, limits[j]);
+        expect_size(kept, is_head, largest, 200);
+        if (limits[j] < SENT_MAX_BYTES) {
+            expect_size(kept, is_head, limits[j] + 1, refusal);
+        }
+    }
+    for (i = 0; i < GATEWAYS; i++) {
+        close(kept[i]);
+    }
+}
+
+/* Guards against bodies that are refused although a raised limit allows them,
+ * up to the largest limit, or served after it was lowered. */
+static void
+test_limit_of_bodies(void **state)
+{
+    static const uint32_t limits[] = {65536,   300000,  1000000, 1000001,
+                                      2097152, LARGEST, 1000,    65536};
+
+    (void)state;
+    check_size_limit("body", false, limits, sizeof(limits) / sizeof(limits[0]),
+                     413);
+}
+
+/* Guards against the same for heads: those above 80 KB got 400. */
+static void
+test_limit_of_heads(void **state)
+{
+    static const uint32_t limits[] = {16384,  65536,   81920, 100000, 262144,
+                                      900000, LARGEST, 4096,  16384};
+
+    (void)state;
+    check_size_limit("header", true, limits,
+                     sizeof(limits) / sizeof(limits[0]), 431);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_limit_of_bodies),
+        cmocka_unit_test(test_limit_of_heads),
+    };
+
+    return cmocka_run_group_tests(tests, start_site, stop_site);
+}
--- a/tests/test-trans-limits.c
+++ b/tests/test-trans-limits.c
@@ -252,6 +252,34 @@
     talloc_free(fixture);
 }
 
+/* Guards against a head without end of bytes that are neither names nor
+ * values, such as blanks before a value, which no limit counts. */
+static void
+test_head_of_blanks_is_refused(void **state)
+{
+    static const HrH1Limits limits = {100000, 1000, 20000, 20000};
+    Fixture *fixture = create_fixture(*state, &limits);
+    int fd = open_with_text(fixture, "GET /a HTTP/1.1\r\nHost: h\r\nA:");
+    char blanks[10001];
+    uint32_t sent_bytes = 0;
+    int status = 0;
+
+    memset(blanks, ' ', sizeof(blanks) - 1);
+    blanks[sizeof(blanks) - 1] = '\0';
+    while (status == 0 && sent_bytes < 1000000) {
+        if (send(fd, blanks, sizeof(blanks) - 1, MSG_NOSIGNAL) > 0) {
+            sent_bytes += sizeof(blanks) - 1;
+        }
+        run_loop_for(fixture, 5 * MS);
+        status = read_status(fd);
+    }
+    assert_int_equal(status, 431);
+    assert_true(sent_bytes >= 200000 && sent_bytes <= 250000);
+    assert_int_equal(fixture->received, 0);
+    close(fd);
+    talloc_free(fixture);
+}
+
 /* Answers the open request with LARGE_ANSWER_BYTES. */
 static void
 answer_large(Fixture *fixture)
@@ -521,6 +549,7 @@
         cmocka_unit_test(test_raised_limits_spare_a_body_in_progress),
         cmocka_unit_test(test_lowered_limits_spare_a_head_in_progress),
         cmocka_unit_test(test_raised_limits_apply_to_the_next_head),
+        cmocka_unit_test(test_head_of_blanks_is_refused),
         cmocka_unit_test(
             test_lowered_idle_timeout_spares_an_answer_in_progress),
         cmocka_unit_test(test_idle_timeout_applies_to_time_without_progress),
