Apply raised size limits to requests that are being received

Cause: a request keeps the limits with which it started. Change: the larger of these and the limits in force applies to its sizes. Result: test_raised_sizes_apply_to_open_requests fails before (413) and passes.

--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -146,7 +146,8 @@
 }
 
 /* Sets the state, the time of its start and the limits that apply to it. A
- * request keeps the limits with which it started. */
+ * request keeps the limits with which it started, but may use larger sizes
+ * that come into force meanwhile. */
 void
 HrH1Conn_SetState(HrH1Conn *conn, HrH1ConnState state)
 {
@@ -344,13 +345,34 @@
     }
 }
 
+/* Return the limits of the request that is being received: what it started
+ * with, or the limits in force if they are larger. The time limits stay those
+ * of its start. */
+static uint32_t
+get_max_header_bytes(const HrH1Conn *conn)
+{
+    uint32_t now = conn->server->limits.max_header_bytes;
+
+    return now > conn->limits.max_header_bytes ? now
+                                               : conn->limits.max_header_bytes;
+}
+
+static uint32_t
+get_max_body_bytes(const HrH1Conn *conn)
+{
+    uint32_t now = conn->server->limits.max_body_bytes;
+
+    return now > conn->limits.max_body_bytes ? now
+                                             : conn->limits.max_body_bytes;
+}
+
 /* Counts header bytes. Returns 1, so that the request is refused, if they
  * exceed the limit. */
 static int
 count_header_bytes(HrH1Conn *conn, size_t length)
 {
     conn->header_bytes += (uint32_t)length;
-    if (conn->header_bytes > conn->limits.max_header_bytes) {
+    if (conn->header_bytes > get_max_header_bytes(conn)) {
         conn->refusal_status = 431;
         return 1;
     }
@@ -456,7 +478,7 @@
         conn->refusal_status = server->head_fn(server->arg, &conn->call);
     }
     if (conn->refusal_status == 0 && parser->content_length != UINT64_MAX &&
-        parser->content_length > conn->limits.max_body_bytes) {
+        parser->content_length > get_max_body_bytes(conn)) {
         conn->refusal_status = 413;
     }
     if (conn->refusal_status == 0 &&
@@ -479,8 +501,7 @@
 {
     HrH1Conn *conn = parser->data;
 
-    if (HrBuffer_GetLength(&conn->body) + length >
-        conn->limits.max_body_bytes) {
+    if (HrBuffer_GetLength(&conn->body) + length > get_max_body_bytes(conn)) {
         conn->refusal_status = 413;
         return 1;
     }
@@ -576,7 +597,7 @@
 count_head_bytes(HrH1Conn *conn, size_t length)
 {
     uint64_t limit_bytes =
-        (uint64_t)conn->limits.max_header_bytes * HEAD_BYTES_FACTOR;
+        (uint64_t)get_max_header_bytes(conn) * HEAD_BYTES_FACTOR;
 
     conn->head_bytes += length;
     return conn->head_bytes <=
--- a/tests/test-process-caller-limits.c
+++ b/tests/test-process-caller-limits.c
@@ -262,12 +262,50 @@
                      sizeof(limits) / sizeof(limits[0]), 431);
 }
 
+/* Guards against a request that is refused because it started before a limit
+ * was raised, although no version in force limits its size any more. */
+static void
+test_raised_sizes_apply_to_open_requests(void **state)
+{
+    static const char chunk[] = "Transfer-Encoding: chunked\r\n\r\n9c40\r\n";
+    int bodies[GATEWAYS], heads[GATEWAYS];
+    uint32_t i;
+
+    (void)state;
+    set_limits("body=65536&header=16384&header_timeout=10000");
+    for (i = 0; i < GATEWAYS; i++) {
+        bodies[i] = TestSocket_Connect(site.gateways[i].caller_port);
+        write_head_start(bodies[i]);
+        TestSocket_WriteText(bodies[i], chunk);
+        write_filler(bodies[i], 40000);
+        heads[i] = TestSocket_Connect(site.gateways[i].caller_port);
+        write_head_start(heads[i]);
+        TestSocket_WriteText(heads[i], "X: ");
+        write_filler(heads[i], 10000);
+    }
+    TestClock_SleepMs(200);
+    set_limits("body=2097152&header=262144");
+    for (i = 0; i < GATEWAYS; i++) {
+        write_bytes(bodies[i], "\r\n100000\r\n", 10);
+        write_filler(bodies[i], 0x100000);
+        write_bytes(bodies[i], "\r\n0\r\n\r\n", 7);
+        assert_int_equal(TestSocket_ReadReply(bodies[i]).status, 200);
+        write_filler(heads[i], 150000);
+        write_bytes(heads[i], "\r\nContent-Length: 0\r\n\r\n", 23);
+        assert_int_equal(TestSocket_ReadReply(heads[i]).status, 200);
+        close(bodies[i]);
+        close(heads[i]);
+    }
+    set_limits("body=65536&header=16384&header_timeout=3000");
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_limit_of_bodies),
         cmocka_unit_test(test_limit_of_heads),
+        cmocka_unit_test(test_raised_sizes_apply_to_open_requests),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
