Apply a raised idle timeout to connections that are idle already

Cause: a connection keeps the limit with which its state began. Change: the longer of that and the limit in force applies to idle connections and to bodies that are being received. Result: test_idle_limit fails before (connection closed) and passes; test_time_limit_of_heads passes before and after.

--- a/src/trans-h1-server.c
+++ b/src/trans-h1-server.c
@@ -159,6 +159,18 @@
     return age_ms;
 }
 
+/* Returns the idle time that a caller without an open request, or with a body
+ * under way, may take: that of the start, or the one in force if it is longer.
+ */
+static uint32_t
+get_idle_timeout_ms(const HrH1Conn *conn)
+{
+    uint32_t now = conn->server->limits.idle_timeout_ms;
+
+    return now > conn->limits.idle_timeout_ms ? now
+                                              : conn->limits.idle_timeout_ms;
+}
+
 /* Returns true if a connection has exceeded the time limit of its state. */
 static bool
 is_conn_overdue(HrH1Conn *conn, int64_t now_ns)
@@ -172,11 +184,11 @@
     }
     switch (conn->state) {
     case HR_H1_CONN_IDLE:
-        return age_ms > limits->idle_timeout_ms;
+        return age_ms > get_idle_timeout_ms(conn);
     case HR_H1_CONN_WRITING:
         return get_unsent_age_ms(conn, now_ns) > limits->idle_timeout_ms;
     case HR_H1_CONN_READING:
-        return conn->headers_complete ? stalled_ms > limits->idle_timeout_ms
+        return conn->headers_complete ? stalled_ms > get_idle_timeout_ms(conn)
                                       : age_ms > limits->header_timeout_ms;
     case HR_H1_CONN_ANSWERING:
         return false;
--- a/src/trans-h1-server.h
+++ b/src/trans-h1-server.h
@@ -82,7 +82,8 @@
 
 /* Changes the limits for what starts after the call: the next request, the
  * next idle time and the next answer of each connection. Larger sizes also
- * apply to requests that are being received. */
+ * apply to requests that are being received, and a longer idle time to
+ * connections that are idle or receive a body. */
 void HrH1Server_SetLimits(HrH1Server *server, const HrH1Limits *limits);
 
 /* Stops accepting connections, so that new ones wait in the kernel, or starts
--- a/tests/test-process-caller-limits.c
+++ b/tests/test-process-caller-limits.c
@@ -299,6 +299,94 @@
     set_limits("body=65536&header=16384&header_timeout=3000");
 }
 
+/* Sends a request on a connection that stops in the middle of its head for
+ * some time. Returns the status. */
+static int
+send_slow_head(uint32_t gateway, int64_t pause_ms)
+{
+    int fd = TestSocket_Connect(site.gateways[gateway].caller_port), status;
+
+    write_head_start(fd);
+    TestClock_SleepMs(pause_ms);
+    write_bytes(fd, "Content-Length: 0\r\n\r\n", 21);
+    status = TestSocket_ReadReply(fd).status;
+    close(fd);
+    return status;
+}
+
+/* Returns true if the other end has closed a connection. */
+static bool
+is_closed(int fd)
+{
+    struct pollfd poll_fd = {.fd = fd, .events = POLLIN};
+
+    return poll(&poll_fd, 1, 0) > 0;
+}
+
+/* Guards against a time limit for heads that a raise does not prolong, or that
+ * a larger value than fits ends at once. */
+static void
+test_time_limit_of_heads(void **state)
+{
+    uint32_t i;
+
+    (void)state;
+    for (i = 0; i < GATEWAYS; i++) {
+        set_limits("header_timeout=300");
+        assert_int_equal(send_slow_head(i, 900), 408);
+        set_limits("header_timeout=3000");
+        assert_int_equal(send_slow_head(i, 900), 200);
+        set_limits("header_timeout=4294967295");
+        assert_int_equal(send_slow_head(i, 900), 200);
+        set_limits("header_timeout=300");
+        assert_int_equal(send_slow_head(i, 900), 408);
+    }
+    set_limits("header_timeout=3000");
+}
+
+/* Guards against an idle connection, or a body that pauses, that is closed by
+ * the lower limit which was in force before, and one that is kept after the
+ * limit was lowered. */
+static void
+test_idle_limit(void **state)
+{
+    static const char *const raised[] = {"idle_timeout=10000",
+                                         "idle_timeout=4294967295"};
+    int idle[GATEWAYS], bodies[GATEWAYS];
+    size_t j;
+    uint32_t i;
+
+    (void)state;
+    for (j = 0; j < sizeof(raised) / sizeof(raised[0]); j++) {
+        set_limits("idle_timeout=2000");
+        for (i = 0; i < GATEWAYS; i++) {
+            idle[i] = TestSocket_Connect(site.gateways[i].caller_port);
+            assert_int_equal(send_body(idle[i], 10, false), 200);
+            bodies[i] = TestSocket_Connect(site.gateways[i].caller_port);
+            write_head_start(bodies[i]);
+            write_bytes(bodies[i], "Content-Length: 2\r\n\r\nx", 22);
+        }
+        set_limits(raised[j]);
+        TestClock_SleepMs(3500);
+        for (i = 0; i < GATEWAYS; i++) {
+            assert_int_equal(send_body(idle[i], 10, false), 200);
+            write_bytes(bodies[i], "x", 1);
+            assert_int_equal(TestSocket_ReadReply(bodies[i]).status, 200);
+            close(bodies[i]);
+        }
+        set_limits("idle_timeout=2000");
+        for (i = 0; i < GATEWAYS; i++) {
+            assert_int_equal(send_body(idle[i], 10, false), 200);
+        }
+        TestClock_SleepMs(3500);
+        for (i = 0; i < GATEWAYS; i++) {
+            assert_true(is_closed(idle[i]));
+            close(idle[i]);
+        }
+    }
+    set_limits("idle_timeout=15000");
+}
+
 int
 main(void)
 {
@@ -306,6 +394,8 @@
         cmocka_unit_test(test_limit_of_bodies),
         cmocka_unit_test(test_limit_of_heads),
         cmocka_unit_test(test_raised_sizes_apply_to_open_requests),
+        cmocka_unit_test(test_time_limit_of_heads),
+        cmocka_unit_test(test_idle_limit),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
