Test limits that change in the middle of troubles

This test looks for a raise that a gateway misses: up to four changes in quick succession while a gateway is suspended or killed, the settings files change, or the store refuses calls, is silent or forgets its history.

--- a/tests/test-process-caller-limits.c
+++ b/tests/test-process-caller-limits.c
@@ -15,6 +15,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base-rng.h"
+#include "common-fleet.h"
 #include "common-process.h"
 #include "common-site.h"
 
@@ -25,6 +27,8 @@
 #define GATEWAYS 2
 /* The routes have to be in force this long after the store accepted them. */
 #define APPLY_MS 3000
+/* Bounds of time hold again this long after the end of a trouble. */
+#define CONTACT_MS 4000
 #define LARGEST UINT32_MAX
 /* Sizes above this are not sent. */
 #define SENT_MAX_BYTES (4u << 20)
@@ -62,12 +66,11 @@
     return version;
 }
 
-/* Fails the test unless the gateways have a version within the time that they
- * have. */
+/* Fails the test unless the gateways have a version within a time. */
 static void
-wait_for_version(int64_t version)
+wait_for_version(int64_t version, int64_t bound_ms)
 {
-    int64_t end_ms = TestClock_GetWallMs() + APPLY_MS;
+    int64_t end_ms = TestClock_GetWallMs() + bound_ms;
     uint32_t i;
 
     for (i = 0; i < GATEWAYS; i++) {
@@ -83,7 +86,7 @@
 static void
 set_limits(const char *limits)
 {
-    wait_for_version(write_limits(limits));
+    wait_for_version(write_limits(limits), APPLY_MS);
 }
 
 /* Sets one size limit. */
@@ -387,6 +390,142 @@
     set_limits("idle_timeout=15000");
 }
 
+/* What happens while a limit changes. */
+typedef enum Trouble {
+    TROUBLE_NONE,
+    TROUBLE_PAUSE,    /* a gateway is suspended */
+    TROUBLE_KILL,     /* a gateway is killed and starts again */
+    TROUBLE_SETTINGS, /* the settings files of the gateways change */
+    TROUBLE_BUSY,     /* the store refuses all calls */
+    TROUBLE_SILENT,   /* the store answers nothing */
+    TROUBLE_FORGET,   /* the store forgets its history */
+    TROUBLE_COUNT,
+} Trouble;
+
+static void
+control_store(const char *mode)
+{
+    char target[64];
+
+    snprintf(target, sizeof(target), "/test/store?mode=%s", mode);
+    assert_true(TestSite_SendControl(&site, target, "") >= 0);
+}
+
+static void
+begin_trouble(Trouble trouble, uint32_t gateway)
+{
+    uint32_t i;
+
+    switch (trouble) {
+    case TROUBLE_PAUSE:
+        kill(site.gateways[gateway].pid, SIGSTOP);
+        break;
+    case TROUBLE_KILL:
+        TestSite_EndGateway(&site, gateway, SIGKILL);
+        break;
+    case TROUBLE_SETTINGS:
+        for (i = 0; i < GATEWAYS; i++) {
+            kill(site.gateways[i].pid, SIGHUP);
+        }
+        break;
+    case TROUBLE_BUSY:
+        control_store("busy");
+        break;
+    case TROUBLE_SILENT:
+        control_store("silent");
+        break;
+    case TROUBLE_FORGET:
+        control_store("forget");
+        break;
+    case TROUBLE_NONE:
+    case TROUBLE_COUNT:
+        break;
+    }
+}
+
+static void
+end_trouble(Trouble trouble, uint32_t gateway)
+{
+    switch (trouble) {
+    case TROUBLE_PAUSE:
+        kill(site.gateways[gateway].pid, SIGCONT);
+        break;
+    case TROUBLE_KILL:
+        TestSite_StartGateway(&site, gateway);
+        TestSite_WaitForGateway(&site, gateway);
+        break;
+    case TROUBLE_BUSY:
+    case TROUBLE_SILENT:
+        control_store("ok");
+        break;
+    case TROUBLE_NONE:
+    case TROUBLE_SETTINGS:
+    case TROUBLE_FORGET:
+    case TROUBLE_COUNT:
+        break;
+    }
+}
+
+/* Changes the limit of bodies several times in quick succession in the middle
+ * of a trouble, and checks the last one at all gateways. */
+static bool
+run_change_in_trouble(uint64_t seed, bool trace)
+{
+    static const uint32_t limits[] = {1000001, 1200000, 2097152, LARGEST};
+    HrRng rng = HrRng_FromSeed(seed);
+    Trouble trouble;
+    uint32_t gateway, changes, i;
+    int64_t version = 0;
+    char text[32];
+
+    trouble = (Trouble)HrRng_DrawBelow(&rng, TROUBLE_COUNT);
+    gateway = (uint32_t)HrRng_DrawBelow(&rng, GATEWAYS);
+    changes = 1 + (uint32_t)HrRng_DrawBelow(&rng, 4);
+    set_limits("body=65536");
+    if (trace) {
+        printf("trouble %d, gateway %u, %u changes\n", (int)trouble, gateway,
+               changes);
+    }
+    begin_trouble(trouble, gateway);
+    TestClock_SleepMs((int64_t)HrRng_DrawBelow(&rng, 800));
+    for (i = 1; i < changes; i++) {
+        snprintf(text, sizeof(text), "body=%u",
+                 1 + (uint32_t)HrRng_DrawBelow(&rng, 2000000));
+        write_limits(text);
+        TestClock_SleepMs((int64_t)HrRng_DrawBelow(&rng, 60));
+    }
+    snprintf(text, sizeof(text), "body=%u", limits[HrRng_DrawBelow(&rng, 4)]);
+    version = write_limits(text);
+    TestClock_SleepMs((int64_t)HrRng_DrawBelow(&rng, 800));
+    end_trouble(trouble, gateway);
+    wait_for_version(version,
+                     APPLY_MS + (trouble == TROUBLE_NONE ? 0 : CONTACT_MS));
+    for (i = 0; i < 2 * GATEWAYS; i++) {
+        int fd = TestSocket_Connect(site.gateways[i / 2].caller_port);
+        int status = send_body(fd, 1000001, i % 2 == 1);
+
+        close(fd);
+        if (status != 200) {
+            printf("gateway %u: %d\n", i / 2, status);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Guards against a raised limit that a gateway misses, because the change came
+ * while it was suspended, started, or could not read the store. */
+static void
+test_limits_in_trouble(void **state)
+{
+    (void)state;
+    assert_int_equal(HrFleet_RunSeeds("limits in trouble", 1,
+                                      HrFleet_GetScheduleCount(8),
+                                      run_change_in_trouble),
+                     0);
+    set_limits("body=65536");
+}
+
 int
 main(void)
 {
@@ -396,6 +535,7 @@
         cmocka_unit_test(test_raised_sizes_apply_to_open_requests),
         cmocka_unit_test(test_time_limit_of_heads),
         cmocka_unit_test(test_idle_limit),
+        cmocka_unit_test(test_limits_in_trouble),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
