Take an answer with a space in a header's name for malformed

Cause: the parser accepts spaces in names and applies the line; under its odd name the line was not left out. Change: such an answer is malformed.

--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -323,6 +323,22 @@
     return false;
 }
 
+/* Returns true if a header line has a space in its name, as before the colon,
+ * which the parser accepts. Whether the line was meant and how the body is
+ * framed is not certain then. */
+static bool
+has_malformed_name(const HrHeaders *headers)
+{
+    uint32_t i;
+
+    for (i = 0; i < headers->count; i++) {
+        if (strchr(HrHeaders_GetName(headers, i), ' ') != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns true if HTTP defines the status for an answer to this client, which
  * never requests the change of protocols that status 101 announces. A status
  * such as 000 comes from a server in trouble and says nothing about the
@@ -341,6 +357,7 @@
 
     HrHeaders_EndHead(&conn->headers);
     if (parser->http_major != 1 || !is_defined_status(parser->status_code) ||
+        has_malformed_name(&conn->headers) ||
         !HrHeaders_IsFramingKnown(&conn->headers)) {
         return -1;
     }
--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -328,6 +328,29 @@
     expect_bad_gateway("idsonce", 200, lines);
 }
 
+/* Guards against a header line with a space in its name that reaches the
+ * caller, who may read the answer in another way (review/15). */
+static void
+test_malformed_name_is_no_answer(void **state)
+{
+    static const char *const lines[] = {
+        ID_LINE SEAL_LINE "Transfer-Encoding : chunked\r\n",
+        ID_LINE SEAL_LINE "X-Note : a\r\n",
+        ID_LINE SEAL_LINE "X Note: a\r\n",
+        ID_LINE "Hickoryrouter-Response-Seal : seal-$\r\n",
+    };
+    char id[16];
+    size_t i;
+
+    (void)state;
+    for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
+        snprintf(id, sizeof(id), "namepart%zu", i);
+        expect_left_out(id, 200, lines[i]);
+        snprintf(id, sizeof(id), "nameonce%zu", i);
+        expect_bad_gateway(id, 200, lines[i]);
+    }
+}
+
 int
 main(void)
 {
@@ -340,6 +363,7 @@
         cmocka_unit_test(test_success_is_not_declined),
         cmocka_unit_test(test_encoded_body_is_no_answer),
         cmocka_unit_test(test_answer_with_two_ids_is_no_answer),
+        cmocka_unit_test(test_malformed_name_is_no_answer),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
