End answers without a body with their head

Cause: the parser leaves it to its user that 1xx, 204 and 304 have no body; the client said so for HEAD requests only. Change: these answers end with their head, also when they are passed on; the listener writes no length for them.

--- a/src/proto-headers.c
+++ b/src/proto-headers.c
@@ -230,6 +230,13 @@
     return first;
 }
 
+/* Returns true if an answer with this status ends with its head. */
+bool
+HrHttp_IsStatusWithoutBody(int status)
+{
+    return status / 100 == 1 || status == 204 || status == 304;
+}
+
 /* Returns true if the body is sent as it is or in chunks. */
 bool
 HrHeaders_IsFramingKnown(const HrHeaders *headers)
--- a/src/proto-headers.h
+++ b/src/proto-headers.h
@@ -64,6 +64,10 @@
 const char *HrHeaders_FindFirst(const HrHeaders *headers, const char *name,
                                 uint32_t *count);
 
+/* Returns true if an answer with this status has no body, whatever length its
+ * header lines state. */
+bool HrHttp_IsStatusWithoutBody(int status);
+
 /* Returns true if the body is sent as it is or in chunks, without a coding
  * that would have to be decoded before it can be forwarded. */
 bool HrHeaders_IsFramingKnown(const HrHeaders *headers);
--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -349,11 +349,20 @@
     return status >= 100 && status < 600 && status != 101;
 }
 
+/* Returns true if the answer ends with its head, whatever length it states. */
+static bool
+is_without_body(const HrH1ClientConn *conn)
+{
+    return conn->is_head ||
+           HrHttp_IsStatusWithoutBody((int)conn->parser.status_code);
+}
+
 static int
 on_headers(http_parser *parser)
 {
     HrH1ClientConn *conn = parser->data;
     const HrH1ClientConfig *config = &conn->target->client->config;
+    bool has_body = !is_without_body(conn);
 
     HrHeaders_EndHead(&conn->headers);
     if (parser->http_major != 1 || !is_defined_status(parser->status_code) ||
@@ -374,18 +383,18 @@
             conn->close_after_answer = true;
         }
     }
-    if (parser->content_length != UINT64_MAX &&
+    if (has_body && parser->content_length != UINT64_MAX &&
         parser->content_length > config->max_answer_bytes) {
         conn->answer_too_large = true;
         return -1;
     }
-    if (!conn->is_head && !conn->skipping_answer &&
+    if (has_body && !conn->skipping_answer &&
         parser->content_length != UINT64_MAX) {
         HrH1ClientConn_ReserveBody(conn, (size_t)parser->content_length);
     }
     conn->at_head_end = true;
     http_parser_pause(parser, 1);
-    return conn->is_head ? 1 : 0;
+    return has_body ? 0 : 1;
 }
 
 static int
--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -284,15 +284,21 @@
     return true;
 }
 
-/* Writes the status line and the header of an answer. */
+/* Writes the status line and the header of an answer. A status without a body
+ * has no length either: that of 304 would be the length of the body that the
+ * caller has already. */
 static int
 write_answer_head(HrBuffer *out, const HrH1Answer *answer, bool keep_alive)
 {
-    int rc = HrBuffer_AppendFormat(
-        out, "HTTP/1.1 %03d %s\r\nContent-Length: %zu\r\n%s", answer->status,
-        get_status_phrase(answer->status), answer->body.length_bytes,
-        keep_alive ? "" : "Connection: close\r\n");
+    int rc =
+        HrBuffer_AppendFormat(out, "HTTP/1.1 %03d %s\r\n%s", answer->status,
+                              get_status_phrase(answer->status),
+                              keep_alive ? "" : "Connection: close\r\n");
 
+    if (rc == HR_OK && !HrHttp_IsStatusWithoutBody(answer->status)) {
+        rc = HrBuffer_AppendFormat(out, "Content-Length: %zu\r\n",
+                                   answer->body.length_bytes);
+    }
     if (rc == HR_OK) {
         rc =
             HrBuffer_Append(out, answer->head.data, answer->head.length_bytes);
@@ -321,7 +327,9 @@
 
     conn->keep_alive = conn->keep_alive && !answer->close && !is_drained(conn);
     HrH1Conn_SetState(conn, HR_H1_CONN_WRITING);
-    if (conn->call.method != NULL && strcmp(conn->call.method, "HEAD") == 0) {
+    if (HrHttp_IsStatusWithoutBody(answer->status) ||
+        (conn->call.method != NULL &&
+         strcmp(conn->call.method, "HEAD") == 0)) {
         body.length_bytes = 0;
     }
     if (write_answer_head(&conn->out, answer, conn->keep_alive) != HR_OK ||
--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -351,6 +351,41 @@
     }
 }
 
+/* Guards against an answer without a body that reaches the caller with one, or
+ * with a length that belongs to another answer (review/11). */
+static void
+test_answers_without_body_have_no_length(void **state)
+{
+    static const int statuses[] = {204, 304};
+    char value[16], id[16];
+    size_t i;
+
+    (void)state;
+    for (i = 0; i < 2; i++) {
+        int fd = TestSocket_Connect(site.gateways[0].caller_port);
+        char text[160];
+        TestReply reply;
+
+        set_service_lines(ONCE, statuses[i], ID_LINE SEAL_LINE);
+        snprintf(id, sizeof(id), "bare%d", statuses[i]);
+        snprintf(text, sizeof(text),
+                 "GET /once/a HTTP/1.1\r\nHost: site.example\r\n"
+                 "Hickoryrouter-Request-Id: %s\r\n\r\n",
+                 id);
+        TestSocket_WriteText(fd, text);
+        reply = TestSocket_ReadReply(fd);
+        assert_int_equal(reply.status, statuses[i]);
+        assert_null(TestReply_FindHeader(&reply, "Content-Length", value,
+                                         sizeof(value)));
+        TestSite_SetServiceMode(&site, ONCE, "ok");
+        TestSocket_WriteText(fd, text);
+        reply = TestSocket_ReadReply(fd);
+        assert_int_equal(reply.status, 200);
+        assert_int_equal(reply.body_bytes, 48);
+        close(fd);
+    }
+}
+
 int
 main(void)
 {
@@ -364,6 +399,7 @@
         cmocka_unit_test(test_encoded_body_is_no_answer),
         cmocka_unit_test(test_answer_with_two_ids_is_no_answer),
         cmocka_unit_test(test_malformed_name_is_no_answer),
+        cmocka_unit_test(test_answers_without_body_have_no_length),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -469,6 +469,51 @@
     free_fixture(fixture);
 }
 
+/* Guards against an answer without a body that waits for one because it states
+ * a length, and against bytes behind it that become its body or the next
+ * answer (review/11). */
+static void
+test_answer_without_body_ends_with_its_head(void **state)
+{
+    static const char *const answers[] = {
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 5000000\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
+        "HTTP/1.1 204 No Content\r\n\r\n",
+    };
+    Fixture *fixture = create_fixture(*state);
+    char text[256];
+    size_t i;
+
+    for (i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+        uint32_t results = fixture->results + 1;
+
+        start_request(fixture, false, false);
+        receive_request(fixture);
+        TestSocket_WriteText(fixture->accepted, answers[i]);
+        wait_for_result(fixture, results);
+        assert_true(fixture->complete);
+        assert_string_equal(fixture->body, "");
+        assert_int_equal(HrH1Target_GetIdleCount(fixture->target), 1);
+        close_connection(fixture, false);
+        wait_for_idle(fixture);
+
+        snprintf(text, sizeof(text), "%sHTTP/1.1 200 OK\r\n", answers[i]);
+        start_request(fixture, false, false);
+        receive_request(fixture);
+        TestSocket_WriteText(fixture->accepted, text);
+        wait_for_result(fixture, results + 1);
+        assert_true(fixture->complete);
+        assert_string_equal(fixture->body, "");
+        assert_int_equal(HrH1Target_GetOpenCount(fixture->target), 0);
+        close_connection(fixture, false);
+    }
+    free_fixture(fixture);
+}
+
 /* Sends a block again and again on a socket until the other end closes the
  * connection, the request has a result or limit_bytes have been sent. Returns
  * the number of bytes sent. */
@@ -678,6 +723,7 @@
         cmocka_unit_test(test_trailers_are_no_header_lines),
         cmocka_unit_test(test_unknown_framing_is_malformed),
         cmocka_unit_test(test_missing_line_end_is_malformed),
+        cmocka_unit_test(test_answer_without_body_ends_with_its_head),
         cmocka_unit_test(test_heads_share_the_memory_limit),
         cmocka_unit_test(test_small_answer_displaces_a_large_one),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
