Count a redirect as an answer, not as a failure of the server

Cause: each status outside of 2xx and 4xx counted as a server's failure. Change: 3xx is handled like 4xx. Result: test_redirect_is_not_repeated fails before and passes.

--- a/src/coord-replica.h
+++ b/src/coord-replica.h
@@ -24,8 +24,8 @@
     HR_ATTEMPT_OUTCOME_NOT_SENT,     /* no byte of it was sent */
     HR_ATTEMPT_OUTCOME_SERVER_ERROR, /* a complete answer that reports a
                                         failure; the request has run */
-    HR_ATTEMPT_OUTCOME_CLIENT_ERROR, /* a complete answer (4xx) that another
-                                        server would give as well */
+    HR_ATTEMPT_OUTCOME_CLIENT_ERROR, /* a complete answer (3xx, 4xx) that
+                                        another server would give as well */
     HR_ATTEMPT_OUTCOME_LOST,         /* no answer; it may have run */
     HR_ATTEMPT_OUTCOME_MALFORMED,    /* an invalid answer; it may have run */
     HR_ATTEMPT_OUTCOME_ABANDONED,    /* its answer is no longer needed */
--- a/src/daemon-gateway-request.c
+++ b/src/daemon-gateway-request.c
@@ -123,8 +123,9 @@
                    ? HR_ATTEMPT_OUTCOME_OK
                    : HR_ATTEMPT_OUTCOME_MALFORMED;
     }
-    return result->status / 100 == 4 ? HR_ATTEMPT_OUTCOME_CLIENT_ERROR
-                                     : HR_ATTEMPT_OUTCOME_SERVER_ERROR;
+    /* A redirect, such as 304, answers the request as it was stated. */
+    return result->status < 500 ? HR_ATTEMPT_OUTCOME_CLIENT_ERROR
+                                : HR_ATTEMPT_OUTCOME_SERVER_ERROR;
 }
 
 /* Returns what a server states about itself in an answer. A pause is requested
--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -386,6 +386,36 @@
     }
 }
 
+/* Guards against a redirect, or the 304 to a conditional request, that counts
+ * as a failure of the server, so that the request is repeated at others. */
+static void
+test_redirect_is_not_repeated(void **state)
+{
+    static const int statuses[] = {302, 304, 404};
+    int64_t end_ms = TestClock_GetWallMs() + 20000;
+    char id[16];
+    size_t i;
+
+    (void)state;
+    assert_true(
+        TestSite_SendControl(&site, "/test/routes?mode=extra", "version") > 0);
+    while (TestSite_SendRequest(&site, 0, "GET", "/extra/a", "probe", "", "")
+               .status != 200) {
+        assert_true(TestClock_GetWallMs() < end_ms);
+        TestClock_SleepMs(20);
+    }
+    for (i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+        TestReply reply;
+
+        snprintf(id, sizeof(id), "moved%d", statuses[i]);
+        set_service_lines(ONCE, statuses[i], ID_LINE SEAL_LINE);
+        reply = TestSite_SendRequest(&site, 0, "GET", "/extra/a", id, "", "");
+        TestSite_SetServiceMode(&site, ONCE, "ok");
+        assert_int_equal(reply.status, statuses[i]);
+        assert_int_equal(TestSite_CountRuns(&site, id), 1);
+    }
+}
+
 int
 main(void)
 {
@@ -400,6 +430,7 @@
         cmocka_unit_test(test_answer_with_two_ids_is_no_answer),
         cmocka_unit_test(test_malformed_name_is_no_answer),
         cmocka_unit_test(test_answers_without_body_have_no_length),
+        cmocka_unit_test(test_redirect_is_not_repeated),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
