Test random heads of answers with repeats and hedges

Each schedule gives every server a sound or faulty head at random and delays some answers, so that requests are repeated and hedged, and checks single and merged answers on a kept connection.

--- a/tests/test-process-answers.c
+++ b/tests/test-process-answers.c
@@ -7,9 +7,12 @@
 #include <cmocka.h>
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "base-rng.h"
+#include "common-fleet.h"
 #include "common-process.h"
 #include "common-site.h"
 
@@ -416,6 +419,160 @@
     }
 }
 
+/* Heads with which a server of a random schedule answers; the first ones are
+ * sound. */
+static const struct {
+    int status;
+    const char *lines;
+} random_heads[] = {
+    {200, ID_LINE SEAL_LINE},
+    {200, SEAL_LINE "X-Note: a \t\r\n" ID_LINE},
+    {200, ID_LINE SEAL_LINE "Connection: Hickoryrouter-Response-Seal\r\n"},
+    {200, ID_LINE},
+    {200, ID_LINE "Hickoryrouter-Response-Seal:\r\n"},
+    {200, ID_LINE "Hickoryrouter-Response-Seal: a, seal-$\r\n"},
+    {200, ID_LINE SEAL_LINE SEAL_LINE},
+    {200, ID_LINE SEAL_LINE "Hickoryrouter-Request-Id: other\r\n"},
+    {200, "Hickoryrouter-Request-Id: other\r\n" SEAL_LINE},
+    {200, ID_LINE SEAL_LINE "Content-Encoding: br\r\n"},
+    {200, ID_LINE SEAL_LINE "Hickoryrouter-Not-Executed: 1\r\n"},
+    {200, ID_LINE SEAL_LINE "Transfer-Encoding : chunked\r\n"},
+    {206, ID_LINE SEAL_LINE},
+    {204, ID_LINE SEAL_LINE},
+    {304, ID_LINE SEAL_LINE},
+    {404, ID_LINE SEAL_LINE},
+    {500, ID_LINE SEAL_LINE},
+    {503, ID_LINE SEAL_LINE},
+    {503, ID_LINE SEAL_LINE "Retry-After: soon\r\n"},
+    {0, ID_LINE SEAL_LINE},
+};
+
+#define RANDOM_HEADS (sizeof(random_heads) / sizeof(random_heads[0]))
+
+/* Sends a request on a kept connection, which is opened if need be. */
+static TestReply
+send_kept(int *fd, const char *method, const char *target, const char *id)
+{
+    char text[256];
+    TestReply reply;
+
+    if (*fd < 0) {
+        *fd = TestSocket_Connect(site.gateways[0].caller_port);
+    }
+    snprintf(text, sizeof(text),
+             "%s %s HTTP/1.1\r\nHost: site.example\r\n"
+             "Hickoryrouter-Request-Id: %s\r\nContent-Length: 0\r\n\r\n",
+             method, target, id);
+    TestSocket_WriteText(*fd, text);
+    reply = TestSocket_ReadReply(*fd);
+    if (reply.status == 0) {
+        close(*fd);
+        *fd = -1;
+    }
+    return reply;
+}
+
+/* Returns true if a merged answer names parts of this request only, each once,
+ * tells how many are missing, and has their records in descending order. */
+static bool
+is_merge_sound(const TestReply *reply, const char *id)
+{
+    const char *body = reply->text + reply->head_bytes;
+    uint32_t parts = count_parts(reply, id);
+    char value[16] = "0";
+    size_t i;
+
+    TestReply_FindHeader(reply, "Hickoryrouter-Missing-Parts", value,
+                         sizeof(value));
+    for (i = 16; i + 16 <= reply->body_bytes; i += 16) {
+        if (memcmp(body + i - 16, body + i, 16) < 0) {
+            return false;
+        }
+    }
+    return parts * 2 >= SERVICES - 1 && reply->body_bytes % 16 == 0 &&
+           parts + strtoul(value, NULL, 10) == SERVICES - 1;
+}
+
+/* Returns true if a request that must run at most once did, and its answer
+ * promises nothing that is not true. */
+static bool
+is_once_sound(const TestReply *reply, const char *id)
+{
+    int64_t runs = TestSite_CountRuns(&site, id);
+    char seal[64], value[64];
+
+    if (runs > 1 || (runs > 0 && reply->status == 503)) {
+        return false;
+    }
+    snprintf(seal, sizeof(seal), "seal-%s", id);
+    return reply->status / 100 != 2 ||
+           (runs == 1 &&
+            TestReply_FindHeader(reply, "Hickoryrouter-Response-Seal", value,
+                                 sizeof(value)) != NULL &&
+            strncmp(value, seal, strlen(seal)) == 0);
+}
+
+/* Has each server answer with a random head, some of them late so that their
+ * requests are hedged, and checks the answers to requests of both kinds. */
+static bool
+run_random_heads(uint64_t seed, bool trace)
+{
+    HrRng rng = HrRng_FromSeed(seed);
+    uint32_t i, sound_share = 20 + (uint32_t)HrRng_DrawBelow(&rng, 80);
+    bool is_sound = true;
+    int fd = -1;
+
+    for (i = 0; i < SERVICES * REPLICAS; i++) {
+        size_t head = HrRng_DrawBelow(&rng, 100) < sound_share
+                          ? HrRng_DrawBelow(&rng, 3)
+                          : HrRng_DrawBelow(&rng, RANDOM_HEADS);
+
+        if (HrRng_DrawBelow(&rng, 8) == 0) {
+            char target[64];
+
+            snprintf(target, sizeof(target),
+                     "/test/server?id=i-%u-%u&mode=slow", i / REPLICAS,
+                     i % REPLICAS);
+            TestSite_SendControl(&site, target, "");
+            continue;
+        }
+        set_server_lines(i / REPLICAS, i % REPLICAS, random_heads[head].status,
+                         random_heads[head].lines);
+    }
+    for (i = 0; i < 10 && is_sound; i++) {
+        bool is_wide = HrRng_DrawBool(&rng, 0.6);
+        char id[32];
+        TestReply reply;
+
+        snprintf(id, sizeof(id), "s%llu-%u", (unsigned long long)seed, i);
+        reply = is_wide ? send_kept(&fd, "GET", "/wide/a", id)
+                        : send_kept(&fd, "POST", "/once/a", id);
+        is_sound = is_wide ? reply.status != 200 || is_merge_sound(&reply, id)
+                           : is_once_sound(&reply, id);
+        if (trace || !is_sound) {
+            printf("%s:\n%s\n", id, reply.text);
+        }
+    }
+    if (fd >= 0) {
+        close(fd);
+    }
+    for (i = 0; i < SERVICES; i++) {
+        TestSite_SetServiceMode(&site, i, "ok");
+    }
+    return is_sound;
+}
+
+/* Guards against all of these faults together, with repeats and hedges. */
+static void
+test_random_heads(void **state)
+{
+    (void)state;
+    assert_int_equal(HrFleet_RunSeeds("random heads", 1,
+                                      HrFleet_GetScheduleCount(20),
+                                      run_random_heads),
+                     0);
+}
+
 int
 main(void)
 {
@@ -431,6 +588,7 @@
         cmocka_unit_test(test_malformed_name_is_no_answer),
         cmocka_unit_test(test_answers_without_body_have_no_length),
         cmocka_unit_test(test_redirect_is_not_repeated),
+        cmocka_unit_test(test_random_heads),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
