Write a space between the lines of a folded value

Cause: the parser passes the lines like pieces of one line. Change: HrHeaders is told where a line ends and writes a space there. Result: test_folded_value_is_not_joined fails before and passes.

--- a/src/proto-headers.c
+++ b/src/proto-headers.c
@@ -51,6 +51,7 @@
     headers->count = 0;
     headers->marked_count = 0;
     headers->in_value = false;
+    headers->value_ended = false;
     headers->is_closed = false;
 }
 
@@ -128,6 +129,7 @@
                        .value_offset = headers->text_bytes & INT32_MAX};
     headers->count++;
     headers->in_value = false;
+    headers->value_ended = false;
     return HR_OK;
 }
 
@@ -158,8 +160,11 @@
 
 /* Appends a piece of the value of the last line. */
 int
-HrHeaders_AppendValue(HrHeaders *headers, const char *text, size_t length)
+HrHeaders_AppendValue(HrHeaders *headers, const char *text, size_t length,
+                      bool is_line_end)
 {
+    int rc = HR_OK;
+
     if (headers->is_closed) {
         return HR_OK;
     }
@@ -172,7 +177,11 @@
         headers->spans[headers->count - 1].value_offset =
             headers->text_bytes & INT32_MAX;
     }
-    return append_text(headers, text, length);
+    else if (headers->value_ended && length > 0) {
+        rc = append_text(headers, " ", 1);
+    }
+    headers->value_ended = is_line_end;
+    return rc == HR_OK ? append_text(headers, text, length) : rc;
 }
 
 /* Ends the last line, and ignores what is appended later. */
--- a/src/proto-headers.h
+++ b/src/proto-headers.h
@@ -25,6 +25,7 @@
     uint32_t capacity;     /* of spans */
     uint32_t marked_count; /* lines for which is_hop_by_hop is known */
     bool in_value;         /* the last appended piece belonged to a value */
+    bool value_ended;      /* the last piece of a value ended its line */
     bool is_closed;        /* the head is complete */
 } HrHeaders;
 
@@ -41,9 +42,12 @@
  * HR_ERR_TOO_LARGE if all lines together would exceed UINT32_MAX / 2 bytes. */
 int HrHeaders_AppendName(HrHeaders *headers, const char *text, size_t length);
 
-/* Appends a piece of the value of the last line. Returns HR_ERR_PROTOCOL if
- * there is no line yet, otherwise the same as HrHeaders_AppendName(). */
-int HrHeaders_AppendValue(HrHeaders *headers, const char *text, size_t length);
+/* Appends a piece of the value of the last line. is_line_end: a line end
+ * follows the piece. If the value continues on the next line (folding), a
+ * space stands between the two. Returns HR_ERR_PROTOCOL if there is no line
+ * yet, otherwise the same as HrHeaders_AppendName(). */
+int HrHeaders_AppendValue(HrHeaders *headers, const char *text, size_t length,
+                          bool is_line_end);
 
 /* Ends the last line; called when the head is complete. Lines behind the body
  * (trailers) are ignored: what states the route, the id or the digest of a
--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -296,7 +296,8 @@
     HrH1ClientConn *conn = parser->data;
 
     return !reserve_buffered(conn, length) ||
-           HrHeaders_AppendValue(&conn->headers, at, length) != HR_OK;
+           HrHeaders_AppendValue(&conn->headers, at, length,
+                                 at + length != conn->input_end) != HR_OK;
 }
 
 /* Returns true if an answer may be a late one to an earlier request: it has no
@@ -495,6 +496,7 @@
     http_parser *parser = &conn->parser;
     size_t used = 0;
 
+    conn->input_end = (const char *)data + length;
     do {
         conn->at_head_end = conn->at_line_end = false;
         used += http_parser_execute(parser, &parser_settings,
--- a/src/trans-h1-client-int.h
+++ b/src/trans-h1-client-int.h
@@ -56,6 +56,7 @@
                           the head */
     bool at_line_end;  /* the parser has stopped behind the line of a chunk */
     uint8_t last_byte; /* the last one that was parsed */
+    const char *input_end; /* of the bytes that are being parsed */
     bool waiting; /* for room for the answer; not being read */
     bool dead;
 };
--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -412,7 +412,8 @@
     HrH1Conn *conn = parser->data;
 
     return count_header_bytes(conn, length) != 0 ||
-           HrHeaders_AppendValue(&conn->call.headers, at, length) != HR_OK;
+           HrHeaders_AppendValue(&conn->call.headers, at, length,
+                                 at + length != conn->input_end) != HR_OK;
 }
 
 /* Returns true if a request whose head is complete has a body. */
@@ -623,6 +624,7 @@
     if (conn->state == HR_H1_CONN_IDLE) {
         HrH1Conn_SetState(conn, HR_H1_CONN_READING);
     }
+    conn->input_end = (const char *)data + length;
     used = http_parser_execute(&conn->parser, &parser_settings,
                                (const char *)data, length);
     error = HTTP_PARSER_ERRNO(&conn->parser);
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -44,6 +44,7 @@
     bool complete; /* the last result was a complete answer */
     char body[64]; /* of the last complete answer */
     uint32_t header_lines;
+    char note[32]; /* value of X-Note; "": none */
 } Fixture;
 
 /* Creates a fixture. */
@@ -98,10 +99,14 @@
     fixture->results++;
     fixture->complete = result->outcome == HR_H1_ANSWERED;
     if (fixture->complete) {
+        const char *note = HrHeaders_FindValue(result->headers, "X-Note");
+
         snprintf(fixture->body, sizeof(fixture->body), "%.*s",
                  (int)result->body.length_bytes,
                  (const char *)result->body.data);
         fixture->header_lines = result->headers->count;
+        snprintf(fixture->note, sizeof(fixture->note), "%s",
+                 note != NULL ? note : "");
     }
 }
 
@@ -514,6 +519,26 @@
     free_fixture(fixture);
 }
 
+/* Guards against a value on two lines whose parts are joined to another value,
+ * so that a digest reaches the caller changed. */
+static void
+test_folded_value_is_not_joined(void **state)
+{
+    static const char answer[] =
+        "HTTP/1.1 200 OK\r\nX-Note: 3e1b\r\n\t .07\r\n  \r\n"
+        "Content-Length: 5\r\n\r\nabcde";
+    Fixture *fixture = create_fixture(*state);
+    size_t cut;
+
+    for (cut = 1; cut < strlen(answer); cut++) {
+        assert_true(is_accepted_answer(fixture, answer, cut));
+        assert_true(strncmp(fixture->note, "3e1b ", 5) == 0);
+        assert_non_null(strstr(fixture->note, " .07"));
+        assert_int_equal(fixture->header_lines, 2);
+    }
+    free_fixture(fixture);
+}
+
 /* Sends a block again and again on a socket until the other end closes the
  * connection, the request has a result or limit_bytes have been sent. Returns
  * the number of bytes sent. */
@@ -724,6 +749,7 @@
         cmocka_unit_test(test_unknown_framing_is_malformed),
         cmocka_unit_test(test_missing_line_end_is_malformed),
         cmocka_unit_test(test_answer_without_body_ends_with_its_head),
+        cmocka_unit_test(test_folded_value_is_not_joined),
         cmocka_unit_test(test_heads_share_the_memory_limit),
         cmocka_unit_test(test_small_answer_displaces_a_large_one),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
