Hold a large body once for all attempts to forward it

Cause: the body was copied for each shard and each hedge, and nothing asked the budget of memory before that. Change: a body above 16 KB is taken over from the listener and shared by the connections to the servers, which hold it until it is written.

--- a/src/daemon-gateway-request-int.h
+++ b/src/daemon-gateway-request-int.h
@@ -41,6 +41,7 @@
     bool accepts_encoding; /* the body of the answer may be encoded */
     int64_t deadline_ns;
     int64_t spent_ns;     /* see HrForwardConfig */
+    HrH1Body *body;       /* of a large request; NULL: see call->body */
     HrBuffer head;        /* head of the request, the same for all attempts */
     HrBuffer answer_head; /* header lines of the answer to the caller */
     HrTopRecords records; /* merged from the answers of the units */
--- a/src/daemon-gateway-request.c
+++ b/src/daemon-gateway-request.c
@@ -32,6 +32,10 @@
 /* Timeout of a request if neither the caller nor the route states one. */
 #define DEFAULT_TIMEOUT_MS 10000
 
+/* A larger body is held once for all attempts. A smaller one is copied, so
+ * that it is sent together with the head. */
+#define COPIED_BODY_MAX_BYTES ((size_t)16 * 1024)
+
 static void run_actions(HrGatewayRequest *request);
 
 /* Sends the caller an answer of the gateway itself, with an empty body. A
@@ -63,6 +67,7 @@
     HrLoop_RemoveTimer(request->gateway->loop, request->timer);
     HrGateway_ReleaseTable(request->gateway, request->shared_table);
     HrMemory_Remove(request->gateway->memory, request->state_bytes);
+    HrH1Body_Release(request->body);
     talloc_free(request);
 }
 
@@ -269,6 +274,7 @@
                            action->attempt];
     HrH1Request outgoing = {.echo = request->id,
                             .body = call->body,
+                            .shared_body = request->body,
                             .max_idle_ns = request->route->idempotent
                                                ? HR_TIME_NEVER
                                                : NON_IDEMPOTENT_MAX_IDLE_NS};
@@ -534,6 +540,9 @@
         talloc_free(request);
         return NULL;
     }
+    if (call->body.length_bytes > COPIED_BODY_MAX_BYTES) {
+        request->body = HrH1Call_ShareBody(call);
+    }
     TAILQ_INSERT_TAIL(&gateway->requests, request, entry);
     record_state(request, units);
     return request;
--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -534,7 +534,7 @@
     used = parse_bytes(conn, data, length);
     if (conn->answer_complete) {
         bool reuse = !at_end && used == length && !conn->close_after_answer &&
-                     HrBuffer_GetLength(&conn->out) == 0 &&
+                     !HrH1ClientConn_HasUnsent(conn) &&
                      http_should_keep_alive(&conn->parser);
 
         deliver_answer(conn, reuse);
--- a/src/trans-h1-client-int.h
+++ b/src/trans-h1-client-int.h
@@ -31,7 +31,10 @@
     HrHeaders headers;
     HrBuffer body;
     HrBuffer out;
-    HrH1ResultFn *fn; /* NULL: abandoned or idle */
+    HrH1Body *shared_body; /* to be sent after out; NULL: none */
+    size_t shared_sent_bytes;
+    bool has_shared_body; /* the request in progress has one, or had it */
+    HrH1ResultFn *fn;     /* NULL: abandoned or idle */
     void *arg;
     char *echo;            /* id expected in the echo header; NULL: any */
     uint64_t answer_bytes; /* received since the request was sent */
@@ -57,7 +60,7 @@
     bool at_line_end;  /* the parser has stopped behind the line of a chunk */
     uint8_t last_byte; /* the last one that was parsed */
     const char *input_end; /* of the bytes that are being parsed */
-    bool waiting; /* for room for the answer; not being read */
+    bool waiting;          /* for room for the answer; not being read */
     bool dead;
 };
 
@@ -99,6 +102,9 @@
  * Gives up an answer that has stopped if it keeps others waiting. */
 void HrH1Client_ContinueWaiting(HrH1Client *client, int64_t now_ns);
 
+/* Returns true if a part of the request is not written yet. */
+bool HrH1ClientConn_HasUnsent(const HrH1ClientConn *conn);
+
 /* Sets the events for which a connection waits. */
 void HrH1ClientConn_Watch(HrH1ClientConn *conn);
 
--- a/src/trans-h1-client.c
+++ b/src/trans-h1-client.c
@@ -27,13 +27,42 @@
     }
 }
 
+/* Returns the next part of the request that is not written yet. */
+static HrBytes
+get_unsent(const HrH1ClientConn *conn)
+{
+    HrBytes bytes = {HrBuffer_GetData(&conn->out),
+                     HrBuffer_GetLength(&conn->out)};
+
+    if (bytes.length_bytes == 0 && conn->shared_body != NULL) {
+        bytes = HrH1Body_GetBytes(conn->shared_body);
+        bytes.data += conn->shared_sent_bytes;
+        bytes.length_bytes -= conn->shared_sent_bytes;
+    }
+    return bytes;
+}
+
+bool
+HrH1ClientConn_HasUnsent(const HrH1ClientConn *conn)
+{
+    return get_unsent(conn).length_bytes > 0;
+}
+
+/* Releases the shared body of a request. */
+static void
+release_shared_body(HrH1ClientConn *conn)
+{
+    HrH1Body_Release(conn->shared_body);
+    conn->shared_body = NULL;
+    conn->shared_sent_bytes = 0;
+}
+
 void
 HrH1ClientConn_Watch(HrH1ClientConn *conn)
 {
-    HrLoop_SetEvents(
-        conn->target->client->loop, conn->watch,
-        (conn->waiting ? 0 : HR_LOOP_READ) |
-            (HrBuffer_GetLength(&conn->out) > 0 ? HR_LOOP_WRITE : 0));
+    HrLoop_SetEvents(conn->target->client->loop, conn->watch,
+                     (conn->waiting ? 0 : HR_LOOP_READ) |
+                         (HrH1ClientConn_HasUnsent(conn) ? HR_LOOP_WRITE : 0));
 }
 
 void
@@ -55,6 +84,19 @@
     HrBuffer_FreeIfEmpty(&conn->body);
 }
 
+/* Has the kernel discard what it holds of a large body whose request is given
+ * up. It would otherwise go on sending it, and keep other requests waiting on
+ * a slow link. */
+static void
+discard_unsent_body(const HrH1ClientConn *conn)
+{
+    const struct linger discard = {.l_onoff = 1};
+
+    if (conn->has_shared_body && !conn->answer_complete) {
+        setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+    }
+}
+
 /* Closes a connection. Its memory is freed by the next sweep, because callers
  * of this function may still use it. */
 void
@@ -67,9 +109,11 @@
     }
     conn->dead = true;
     HrLoop_RemoveFd(target->client->loop, conn->watch);
+    discard_unsent_body(conn);
     close(conn->fd);
     HrH1ClientConn_DropAnswer(conn);
     HrBuffer_Release(&conn->out);
+    release_shared_body(conn);
     HrH1ClientConn_RecordQueued(conn);
     if (conn->state == HR_H1_CLIENT_CONN_IDLE) {
         TAILQ_REMOVE(&target->idle, conn, entry);
@@ -109,9 +153,11 @@
 static bool
 flush_output(HrH1ClientConn *conn)
 {
-    while (HrBuffer_GetLength(&conn->out) > 0) {
-        ssize_t sent = send(conn->fd, HrBuffer_GetData(&conn->out),
-                            HrBuffer_GetLength(&conn->out), MSG_NOSIGNAL);
+    HrBytes unsent;
+
+    while ((unsent = get_unsent(conn)).length_bytes > 0) {
+        ssize_t sent =
+            send(conn->fd, unsent.data, unsent.length_bytes, MSG_NOSIGNAL);
 
         if (sent < 0 && (errno == EAGAIN || errno == EINTR)) {
             HrH1ClientConn_Watch(conn);
@@ -121,9 +167,15 @@
             return false;
         }
         conn->may_have_sent = true;
-        HrBuffer_Consume(&conn->out, (size_t)sent);
+        if (HrBuffer_GetLength(&conn->out) > 0) {
+            HrBuffer_Consume(&conn->out, (size_t)sent);
+        }
+        else {
+            conn->shared_sent_bytes += (size_t)sent;
+        }
     }
     HrBuffer_FreeIfEmpty(&conn->out);
+    release_shared_body(conn);
     HrH1ClientConn_RecordQueued(conn);
     HrH1ClientConn_Watch(conn);
     return true;
@@ -415,10 +467,14 @@
     talloc_free(conn->echo);
     conn->echo =
         request->echo != NULL ? talloc_strdup(conn, request->echo) : NULL;
-    if (rc == HR_OK) {
+    if (rc == HR_OK && request->shared_body == NULL) {
         rc = HrBuffer_Append(&conn->out, request->body.data,
                              request->body.length_bytes);
     }
+    conn->has_shared_body = request->shared_body != NULL;
+    if (conn->has_shared_body) {
+        conn->shared_body = HrH1Body_Acquire(request->shared_body);
+    }
     if (request->echo != NULL && conn->echo == NULL) {
         rc = HR_ERR_NO_MEMORY;
     }
--- a/src/trans-h1-client.h
+++ b/src/trans-h1-client.h
@@ -6,6 +6,7 @@
 
 #include "coord-types.h"
 #include "proto-headers.h"
+#include "trans-h1-body.h"
 #include "trans-loop.h"
 #include "trans-memory.h"
 
@@ -45,13 +46,15 @@
     const char *echo_header;
 } HrH1ClientConfig;
 
-/* A request. The data that it points to is copied. */
+/* A request. The data that it points to is copied, except for shared_body. */
 typedef struct HrH1Request {
     HrBytes head; /* request line and header lines, including the empty line */
     HrBytes body;
-    const char *echo; /* id expected in the echo header; NULL: any */
-    bool is_head;     /* a HEAD request: the answer has no body */
-    bool fresh;       /* send it on a new connection */
+    HrH1Body *shared_body; /* sent instead of body; the client holds a
+                              reference until it is written; NULL: none */
+    const char *echo;      /* id expected in the echo header; NULL: any */
+    bool is_head;          /* a HEAD request: the answer has no body */
+    bool fresh;            /* send it on a new connection */
     /* Connections that have been idle for longer are not used, because the
      * server may be closing them. */
     int64_t max_idle_ns;
--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -342,6 +342,17 @@
     }
 }
 
+/* Returns the body of a request for sharing. */
+HrH1Body *
+HrH1Call_ShareBody(HrH1Call *call)
+{
+    HrH1Conn *conn = (HrH1Conn *)((char *)call - offsetof(HrH1Conn, call));
+    HrH1Body *body = HrH1Body_Create(&conn->body, conn->server->memory);
+
+    HrH1Conn_RecordMemory(conn);
+    return body;
+}
+
 /* Answers a request, which is invalid afterwards. */
 void
 HrH1Call_Answer(HrH1Call *call, const HrH1Answer *answer)
--- a/src/trans-h1-server.h
+++ b/src/trans-h1-server.h
@@ -6,6 +6,7 @@
 
 #include "coord-types.h"
 #include "proto-headers.h"
+#include "trans-h1-body.h"
 #include "trans-loop.h"
 #include "trans-memory.h"
 
@@ -113,6 +114,11 @@
 /* Returns the port that the listener is bound to. */
 uint16_t HrH1Server_GetPort(const HrH1Server *server);
 
+/* Returns the body of a request for sharing; the caller has to release it.
+ * call->body stays valid as long as a reference is held. Returns NULL if
+ * memory runs out; the body is as before then. */
+HrH1Body *HrH1Call_ShareBody(HrH1Call *call);
+
 /* Answers a request, which is invalid afterwards. The answer is copied. */
 void HrH1Call_Answer(HrH1Call *call, const HrH1Answer *answer);
 
--- a/tests/test-process-clients-wide.c
+++ b/tests/test-process-clients-wide.c
@@ -21,6 +21,8 @@
 #define SERVICES 32 /* 31 shards, and one service of single requests */
 #define MEMORY_MB 16
 #define CLIENTS 500
+#define BODIES 4
+#define BODY_BYTES 1000000u
 /* Connections that a server of the stand-in takes from all gateways. */
 #define CONNECTION_LIMIT 40
 #define ORDINARY_TIMEOUT_MS 10000
@@ -45,6 +47,7 @@
     TestSite_StartPlatform(&site, 1, SERVICES, 2);
     site.memory_mb = MEMORY_MB;
     site.max_connections = 2048;
+    TestSite_SendControl(&site, "/test/routes?body=1000000", "version");
     TestSite_StartGateway(&site, 0);
     TestSite_WaitForGateway(&site, 0);
     return 0;
@@ -156,11 +159,56 @@
     expect_ordinary_request();
 }
 
+/* Guards against a large body that is copied for each shard, and once more for
+ * each hedge (review/12). */
+static void
+test_large_bodies_to_many_shards(void **state)
+{
+    static char body[BODY_BYTES + 1];
+    long start_kb = read_memory_kb("VmRSS"), growth_kb;
+    int fds[BODIES];
+    char command[64];
+    uint32_t i;
+    FILE *file;
+
+    (void)state;
+    /* The peak of the test before does not count. */
+    snprintf(command, sizeof(command), "/proc/%d/clear_refs",
+             (int)site.gateways[0].pid);
+    file = fopen(command, "w");
+    assert_non_null(file);
+    assert_true(fputs("5", file) >= 0);
+    fclose(file);
+    memset(body, 'b', BODY_BYTES);
+    for (i = 0; i + 1 < SERVICES; i++) {
+        TestSite_SetServiceMode(&site, i, "silent");
+    }
+    for (i = 0; i < BODIES; i++) {
+        fds[i] = open_request(CLIENTS + i, body);
+    }
+    for (i = 0; i < BODIES; i++) {
+        assert_int_equal(TestSocket_ReadReply(fds[i]).status, 504);
+        close(fds[i]);
+    }
+    growth_kb = read_memory_kb("VmHWM") - start_kb;
+    print_message("%ld KB more at the peak\n", growth_kb);
+    assert_true(growth_kb < GROWTH_MAX_KB);
+    for (i = 0; i + 1 < SERVICES; i++) {
+        TestSite_SetServiceMode(&site, i, "ok");
+    }
+    expect_ordinary_request();
+    assert_int_equal(
+        TestSite_SendRequest(&site, 0, "POST", "/once/o", "long", "", body)
+            .status,
+        200);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_crowd_of_wide_requests),
+        cmocka_unit_test(test_large_bodies_to_many_shards),
     };
 
     return cmocka_run_group_tests(tests, start_site, stop_site);
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -486,8 +486,7 @@
         "HTTP/1.1 304 Not Modified\r\n\r\n",
         "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n",
         "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
-        "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n"
-        "HTTP/1.1 204 No Content\r\n\r\n",
+        "HTTP/1.1 103 A\r\nContent-Length: 5\r\n\r\nHTTP/1.1 204 B\r\n\r\n",
     };
     Fixture *fixture = create_fixture(*state);
     char text[256];
