Bound the heads of answers and trailers again

Cause: lifted the parser's limit of 80 KB for the process, which had also bounded the heads of servers' answers, and trailers. Change: the client counts the bytes of an incomplete head or of trailers, and takes 80 KB as before; the listener counts trailers like a head.

--- a/src/trans-h1-client-answer.c
+++ b/src/trans-h1-client-answer.c
@@ -16,6 +16,9 @@
 #define ANSWER_BYTES_FACTOR 2
 #define ANSWER_EXTRA_BYTES ((uint64_t)256 * 1024)
 
+/* Limit of all bytes of the head of an answer, and of its trailers. */
+#define HEAD_MAX_BYTES ((size_t)80 * 1024)
+
 /* An answer of no more than this is received even if the requests of callers
  * have used up the budget of the process. */
 #define SMALL_ANSWER_BYTES ((size_t)16 * 1024)
@@ -393,6 +396,8 @@
         parser->content_length != UINT64_MAX) {
         HrH1ClientConn_ReserveBody(conn, (size_t)parser->content_length);
     }
+    conn->head_complete = true;
+    conn->head_bytes = 0;
     conn->at_head_end = true;
     http_parser_pause(parser, 1);
     return has_body ? 0 : 1;
@@ -437,6 +442,8 @@
     if (conn->skipping_answer || parser->status_code / 100 == 1) {
         conn->skipping_answer = false;
         conn->answer_started = false;
+        conn->head_complete = false;
+        conn->head_bytes = 0;
         HrH1ClientConn_ReleaseBuffered(conn);
         HrHeaders_Reset(&conn->headers, false);
         return 0;
@@ -516,6 +523,18 @@
     return used;
 }
 
+/* Counts bytes after which a head, or trailers, are not complete. Returns
+ * false if there are too many. */
+static bool
+count_head_bytes(HrH1ClientConn *conn, size_t length)
+{
+    if (conn->head_complete && (conn->parser.flags & F_TRAILING) == 0) {
+        return true;
+    }
+    conn->head_bytes += length;
+    return conn->head_bytes <= HEAD_MAX_BYTES;
+}
+
 /* Parses received bytes of an answer. A length of 0 means that the server
  * closed the connection. */
 void
@@ -540,7 +559,8 @@
         deliver_answer(conn, reuse);
         return;
     }
-    if (at_end || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+    if (at_end || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK ||
+        !count_head_bytes(conn, length)) {
         HrH1ClientConn_FailRequest(conn);
     }
 }
--- a/src/trans-h1-client-int.h
+++ b/src/trans-h1-client-int.h
@@ -55,6 +55,8 @@
                                 request */
     bool answer_complete;    /* the answer was received completely */
     bool answer_too_large;
+    bool head_complete;
+    size_t head_bytes; /* of a head or trailers that are not complete */
     bool at_head_end;  /* the parser has stopped before the line feed that ends
                           the head */
     bool at_line_end;  /* the parser has stopped behind the line of a chunk */
--- a/src/trans-h1-client.c
+++ b/src/trans-h1-client.c
@@ -496,6 +496,8 @@
     conn->is_head = request->is_head;
     conn->may_have_sent = false;
     conn->answer_started = false;
+    conn->head_complete = false;
+    conn->head_bytes = 0;
     conn->skipping_answer = false;
     conn->close_after_answer = false;
     conn->answer_complete = false;
--- a/src/trans-h1-server-conn.c
+++ b/src/trans-h1-server-conn.c
@@ -611,8 +611,8 @@
     server->call_fn(server->arg, &conn->call);
 }
 
-/* Counts bytes of a head that is not complete yet. Returns false if there are
- * too many, whatever they are. */
+/* Counts bytes after which a head, or trailers, are not complete. Returns
+ * false if there are too many, whatever they are. */
 static bool
 count_head_bytes(HrH1Conn *conn, size_t length)
 {
@@ -653,7 +653,8 @@
         dispatch_request(conn);
         return used;
     }
-    if (error == HPE_OK && !conn->headers_complete &&
+    if (error == HPE_OK &&
+        (!conn->headers_complete || (conn->parser.flags & F_TRAILING) != 0) &&
         !count_head_bytes(conn, used)) {
         HrH1Conn_Refuse(conn, 431);
         return length;
--- a/src/trans-h1-server-int.h
+++ b/src/trans-h1-server-int.h
@@ -41,7 +41,7 @@
     HrBuffer pending; /* received but not parsed yet */
     HrBuffer out;
     uint32_t header_bytes; /* of the target, the names and the values */
-    uint64_t head_bytes;   /* all bytes of an incomplete head */
+    uint64_t head_bytes;   /* all bytes of an incomplete head, or trailers */
     const char *input_end; /* of the bytes that are being parsed */
     int refusal_status; /* status with which the request is refused; 0: it is
                            not refused */
--- a/tests/test-trans-faulty.c
+++ b/tests/test-trans-faulty.c
@@ -707,6 +707,47 @@
     return NULL;
 }
 
+/* Guards against a head, or trailers, that are only bounded by what a whole
+ * answer may have: without the parser's limit a gateway kept some MB of each.
+ */
+static void
+test_endless_lines_are_malformed(void **state)
+{
+    static const char *const heads[] = {
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    };
+    static const char *const blocks[] = {"A: b\r\nA: b\r\nA: b\r\nA: b\r\n",
+                                         "                        "};
+    const HrH1Limits limits = {16384, 65536, 3000, 15000};
+    Fixture *fixture = create_fixture(*state);
+    size_t i, j;
+
+    /* As in a gateway, whose listener lifts the limit of the parser. */
+    assert_non_null(HrH1Server_Create(fixture, fixture->loop, "127.0.0.1:0", 8,
+                                      &limits, ignore_call, ignore_call, NULL,
+                                      NULL));
+    for (i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+        for (j = 0; j < 2; j++) {
+            size_t sent;
+
+            start_request(fixture, false, false);
+            receive_request(fixture);
+            TestSocket_WriteText(fixture->accepted, heads[i]);
+            TestSocket_WriteText(fixture->accepted, "X: ");
+            sent = send_without_end(fixture, fixture->accepted, blocks[j],
+                                    400000);
+            print_message("lines %zu, %zu: %zu bytes sent\n", i, j, sent);
+            assert_true(sent < 130000);
+            assert_false(fixture->complete);
+            close_connection(fixture, false);
+            wait_for_idle(fixture);
+        }
+    }
+    free_fixture(fixture);
+}
+
 /* Guards against a caller that sends bytes without end while its request is
  * being answered: they must not all be kept. */
 static void
@@ -749,6 +790,7 @@
         cmocka_unit_test(test_missing_line_end_is_malformed),
         cmocka_unit_test(test_answer_without_body_ends_with_its_head),
         cmocka_unit_test(test_folded_value_is_not_joined),
+        cmocka_unit_test(test_endless_lines_are_malformed),
         cmocka_unit_test(test_heads_share_the_memory_limit),
         cmocka_unit_test(test_small_answer_displaces_a_large_one),
         cmocka_unit_test(test_endless_answers_on_the_own_path),
