Order the fields of a client connection without padding

clang-tidy refused the padding that the fields for large bodies and heads brought. No behaviour changes; test-trans-faulty and test-trans-h1 pass.

--- a/src/trans-h1-client-int.h
+++ b/src/trans-h1-client-int.h
@@ -33,8 +33,9 @@
     HrBuffer out;
     HrH1Body *shared_body; /* to be sent after out; NULL: none */
     size_t shared_sent_bytes;
-    bool has_shared_body; /* the request in progress has one, or had it */
-    HrH1ResultFn *fn;     /* NULL: abandoned or idle */
+    size_t head_bytes;     /* of a head or trailers that are not complete */
+    const char *input_end; /* of the bytes that are being parsed */
+    HrH1ResultFn *fn;      /* NULL: abandoned or idle */
     void *arg;
     char *echo;            /* id expected in the echo header; NULL: any */
     uint64_t answer_bytes; /* received since the request was sent */
@@ -55,14 +56,13 @@
                                 request */
     bool answer_complete;    /* the answer was received completely */
     bool answer_too_large;
+    bool has_shared_body; /* the request in progress has one, or had it */
     bool head_complete;
-    size_t head_bytes; /* of a head or trailers that are not complete */
     bool at_head_end;  /* the parser has stopped before the line feed that ends
                           the head */
     bool at_line_end;  /* the parser has stopped behind the line of a chunk */
     uint8_t last_byte; /* the last one that was parsed */
-    const char *input_end; /* of the bytes that are being parsed */
-    bool waiting;          /* for room for the answer; not being read */
+    bool waiting;      /* for room for the answer; not being read */
     bool dead;
 };
 
